--- /dev/null
+++ b/packages/core/order_run.h
@@ -0,0 +1,114 @@
+/** @file order_run.h One non-idempotent request, run at most once. */
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/answer_type.h"
+#include "core/claim_type.h"
+#include "core/dispatcher.h"
+#include "core/event_log.h"
+#include "core/metrics.h"
+#include "core/service.h"
+#include "core/timer_queue.h"
+
+namespace pollengrade {
+
+/** What an order shares with its node. */
+struct order_context {
+    timer_queue& timers;                   ///< the clock
+    dispatcher& servers;                   ///< sends attempts
+    event_log& log;                        ///< the time line
+    metrics& counts;                       ///< the counters
+    std::function<std::uint64_t()> random; ///< random numbers, for tokens and pauses
+    std::function<wall_time()> wall_clock; ///< the wall clock, for the age of keys
+    claim_store_hooks claims;              ///< the platform
+};
+
+/** @return the platform's name of the claim for a key. */
+[[nodiscard]] claim_name claim_name_of(const service_name& service, std::string_view key);
+/** @return a hash of what an order asks for. */
+[[nodiscard]] std::uint64_t fingerprint_of(const service_name& service, const shard_query& query);
+
+/**
+ * Runs one order.
+ * A claim is created in the platform before anything is sent. Only the run whose token stands in the claim
+ * sends, and it sends to a further server only when the one before proved that it did not run the order.
+ * A claim is never taken from a claimer that is silent: it may have sent.
+ * Modelled in models/order.pml.
+ */
+class order_run {
+public:
+    /**
+     * @param context what the node shares
+     * @param owner the service; outlives the run
+     * @param request what was asked
+     * @param deadline when the answer must be out
+     * @param finish called once with the answer
+     * @param ended called once when nothing is outstanding any more, the record included
+     */
+    order_run(order_context context, service& owner, caller_request request, time_point deadline,
+              answer_hook finish, std::function<void()> ended);
+    order_run(const order_run&) = delete;
+    order_run& operator=(const order_run&) = delete;
+    order_run(order_run&&) = delete;
+    order_run& operator=(order_run&&) = delete;
+    ~order_run() = default;
+
+    /** Checks the request and starts to claim. */
+    void start();
+
+private:
+    enum class stage : std::uint8_t { claiming, sending, settling, ended };
+
+    [[nodiscard]] std::optional<refusal_reason> invalid_reason() const;
+    void write_claim(object_version expected);
+    void on_claim_written(object_version expected, const store_result& result);
+    void read_claim();
+    void on_claim_read(const store_result& result);
+    void on_other_claim(const stored_claim& other);
+    void retry_claiming(std::function<void()> step);
+    void on_deadline();
+
+    void send();
+    void on_sent_result(attempt_id id, attempt_result result);
+
+    void record(claim_state state);
+    void release();
+    void settle_claim();
+    void on_settled(const store_result& result);
+    void take_over_version();
+
+    void refuse(refusal_reason reason, duration retry_after);
+    void reply(answer it);
+    void end();
+    [[nodiscard]] answer blank(outcome result) const;
+
+    order_context context_;                  ///< what the node shares
+    service& service_;                       ///< the service asked
+    caller_request request_;                 ///< what was asked
+    time_point deadline_;                    ///< when the answer must be out
+    answer_hook finish_;                     ///< takes the answer; empty once it is out
+    std::function<void()> ended_;            ///< called at the end
+    stage stage_ = stage::claiming;          ///< what goes on
+    claim_name name_;                        ///< the claim's name
+    claim claim_;                            ///< this run's claim
+    object_version held_;                    ///< the claim's version, once this run holds it; else 0
+    object_version aimed_at_;                ///< the version that the last write of the claim expected
+    bool may_hold_ = false;                  ///< whether a write of this run's claim may take effect, or has
+    bool waits_for_other_ = false;           ///< whether another run's claim was seen to be open
+    bool platform_call_ = false;             ///< whether a call to the platform is outstanding
+    std::uint32_t pauses_ = 0;               ///< pauses made, for growing ones
+    std::uint32_t settle_tries_ = 0;         ///< writes tried while settling
+    std::vector<upstream_address> tried_;    ///< servers that proved not to have run the order
+    std::optional<attempt_id> live_;         ///< the attempt waiting or in flight
+    shard_map_ptr map_;                      ///< the snapshot that names the servers
+    std::optional<timer_id> deadline_timer_; ///< see on_deadline()
+    std::optional<timer_id> pause_;          ///< pause between platform calls
+};
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/core/query_router.cpp
@@ -0,0 +1,204 @@
+/** @file query_router.cpp Admission and the life of requests. */
+#include "core/query_router.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/shard_func.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr duration min_retry_after = std::chrono::milliseconds{20}; ///< least time told to a refused caller
+constexpr duration stopping_retry_after = std::chrono::milliseconds{1}; ///< another node takes it at once
+constexpr duration not_ready_retry_after = std::chrono::seconds{1};     ///< configuration is being read
+
+} // namespace
+
+query_router::query_router(router_parts parts)
+    : parts_{std::move(parts)}, servers_{parts_.timers, parts_.log, parts_.counts, parts_.random,
+                                         parts_.transport} {}
+
+run_id query_router::submit(caller_request request, answer_hook respond) {
+    const run_id id{next_run_++};
+    ++parts_.counts.counter("requests");
+    parts_.log.record(event_kind::request_received, request.id, request.service.value());
+    if (stopping_) {
+        refuse(request, refusal_reason::stopping, stopping_retry_after, respond);
+        return id;
+    }
+    if (!ready_) {
+        refuse(request, refusal_reason::not_ready, not_ready_retry_after, respond);
+        return id;
+    }
+    const auto it = services_.find(request.service);
+    if (it == services_.end()) {
+        refuse(request, refusal_reason::unknown_service, {}, respond);
+        return id;
+    }
+    service& owner = it->second;
+    const service_document& document = owner.document();
+    const duration wanted = request.deadline.count() > 0 ? request.deadline : document.default_deadline;
+    const time_point deadline = parts_.timers.now() + std::min(wanted, document.max_deadline);
+
+    shard_query query = *request.query;
+    query.max_rows = query.max_rows == 0 ? document.max_rows : std::min(query.max_rows, document.max_rows);
+    request.query = std::make_shared<const shard_query>(std::move(query));
+
+    if (const auto excess = excess_wait(owner, *request.query, deadline)) {
+        refuse(request, refusal_reason::overload, std::max(*excess, min_retry_after), respond);
+        return id;
+    }
+    if (request.query->kind == query_kind::order)
+        run_order(owner, std::move(request), deadline, id, std::move(respond));
+    else
+        run_gather(owner, std::move(request), deadline, id, std::move(respond));
+    return id;
+}
+
+void query_router::refuse(const caller_request& request, refusal_reason reason, duration retry_after,
+                          answer_hook& respond) {
+    answer reply;
+    reply.id = request.id;
+    reply.result = reason == refusal_reason::unknown_service ? outcome::invalid : outcome::refused;
+    reply.reason = reason;
+    reply.retry_after = retry_after;
+    if (request.query->kind == query_kind::order)
+        reply.scope = refusal_scope::attempt;
+    count_answer(reply, parts_.timers.now());
+    respond(std::move(reply));
+}
+
+std::optional<duration> query_router::excess_wait(const service& owner, const shard_query& query,
+                                                  time_point deadline) const {
+    const shard_map_ptr map = owner.pin(std::nullopt);
+    if (!map)
+        return std::nullopt;
+    const duration left = deadline - parts_.timers.now();
+    const auto wait_of = [&](const shard_entry& it) {
+        return servers_.expected_wait(it.replicas).value_or(duration{0});
+    };
+    duration longest{0};
+    if (query.kind == query_kind::search) {
+        for (const shard_entry& it : map->shards)
+            longest = std::max(longest, wait_of(it));
+    } else {
+        longest = wait_of(shard_of_number(*map, query.number));
+    }
+    if (longest <= left)
+        return std::nullopt;
+    return longest - left;
+}
+
+void query_router::run_gather(service& owner, caller_request request, time_point deadline, run_id id,
+                              answer_hook respond) {
+    const time_point started = parts_.timers.now();
+    auto finish = [this, id, started, respond = std::move(respond)](answer reply) {
+        count_answer(reply, started);
+        respond(std::move(reply));
+        end_run(id);
+    };
+    const gather_context context{parts_.timers, servers_, parts_.log, parts_.counts};
+    auto& run = gathers_[id];
+    run = std::make_unique<gather>(context, owner, std::move(request), deadline, std::move(finish));
+    run->start();
+}
+
+void query_router::run_order(service& owner, caller_request request, time_point deadline, run_id id,
+                             answer_hook respond) {
+    const time_point started = parts_.timers.now();
+    auto finish = [this, started, respond = std::move(respond)](answer reply) {
+        count_answer(reply, started);
+        respond(std::move(reply));
+    };
+    const order_context context{parts_.timers, servers_,          parts_.log,   parts_.counts,
+                                parts_.random, parts_.wall_clock, parts_.claims};
+    auto& run = orders_[id];
+    run = std::make_unique<order_run>(context, owner, std::move(request), deadline, std::move(finish),
+                                      [this, id] { end_run(id); });
+    run->start();
+}
+
+void query_router::end_run(run_id id) {
+    // The run is still on the call stack: it is destroyed by the next turn of the loop.
+    parts_.timers.schedule_after(duration{0}, [this, id] {
+        gathers_.erase(id);
+        orders_.erase(id);
+        if (stopping_ && running() == 0 && stopped_)
+            std::exchange(stopped_, nullptr)();
+    });
+}
+
+void query_router::count_answer(const answer& reply, time_point started) {
+    ++parts_.counts.counter("answers", to_string(reply.result));
+    if (reply.reason != refusal_reason::none)
+        ++parts_.counts.counter("refusals", to_string(reply.reason));
+    parts_.counts.distribution("request_latency").add(parts_.timers.now() - started);
+    parts_.counts.counter("shards_included") += reply.included.size();
+    for (const missing_shard& it : reply.missing)
+        ++parts_.counts.counter("shards_missing", to_string(it.reason));
+    parts_.log.record(event_kind::request_ended, reply.id, to_string(reply.result),
+                      static_cast<std::int64_t>(reply.missing.size()));
+}
+
+void query_router::abandon(run_id id) {
+    const auto it = gathers_.find(id);
+    if (it == gathers_.end() || it->second->is_finished())
+        return;
+    ++parts_.counts.counter("requests_abandoned");
+    it->second->abandon();
+    end_run(id);
+}
+
+bool query_router::apply_document(service_document document, object_version version) {
+    const service_name name = document.name;
+    auto it = services_.find(name);
+    bool in_force = false;
+    if (it == services_.end()) {
+        it = services_.try_emplace(name, std::move(document), version, servers_, parts_.holders).first;
+        in_force = true;
+        if (auto early = early_.extract(name))
+            apply_snapshots(name, std::move(early.mapped().maps), early.mapped().version);
+    } else {
+        in_force = it->second.apply(std::move(document), version);
+    }
+    if (in_force) {
+        parts_.log.record(event_kind::document_in_force, {}, name.value(),
+                          static_cast<std::int64_t>(version.value()));
+    }
+    return in_force;
+}
+
+bool query_router::apply_snapshots(const service_name& name, std::vector<shard_map> maps,
+                                   object_version version) {
+    const auto it = services_.find(name);
+    if (it == services_.end()) {
+        early_snapshots& early = early_[name];
+        if (version <= early.version)
+            return false;
+        early = {std::move(maps), version};
+        return true;
+    }
+    if (!it->second.apply_snapshots(std::move(maps), version))
+        return false;
+    parts_.log.record(event_kind::shard_map_in_force, {}, name.value(),
+                      static_cast<std::int64_t>(version.value()));
+    return true;
+}
+
+void query_router::set_holders(holder_count holders) {
+    parts_.holders = holders;
+    for (auto& [name, it] : services_)
+        it.set_holders(holders);
+}
+
+void query_router::stop(std::function<void()> done) {
+    stopping_ = true;
+    stopped_ = std::move(done);
+    parts_.log.record(event_kind::node_stopping, {}, {}, static_cast<std::int64_t>(running()));
+    if (running() == 0)
+        end_run(run_id{});
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/core/service_document.cpp
@@ -0,0 +1,97 @@
+/** @file service_document.cpp Keys and checks of service documents. */
+#include "core/service_document.h"
+
+#include <algorithm>
+#include <array>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr std::array<key_rule, 15> rules{{
+    {"service", "name", key_form::text, 1, 63, "", true, "", "", "Name of the service, as in request paths."},
+    {"service", "deadline_ms", key_form::number, 1, 60000, "380", false, "", "ms",
+     "Deadline of a request that names none."},
+    {"service", "max_deadline_ms", key_form::number, 1, 60000, "5000", false, "", "ms",
+     "Longest deadline a request may name; a longer one is shortened to it."},
+    {"service", "prefer", key_form::choice, 0, 0, "coverage", false, "coverage|tail", "",
+     "What a late shard costs: time (coverage) or its rows (tail)."},
+    {"service", "min_coverage_percent", key_form::number, 0, 100, "90", false, "", "percent",
+     "With prefer=tail, the share of shards that is enough to stop at tail_cut_ms."},
+    {"service", "tail_cut_ms", key_form::number, 1, 60000, "200", false, "", "ms",
+     "With prefer=tail, when an answer with enough shards stops waiting."},
+    {"service", "orders", key_form::choice, 0, 0, "forbidden", false, "allowed|forbidden", "",
+     "Whether non-idempotent requests are taken."},
+    {"service", "max_rows", key_form::number, 1, 1000, "100", false, "", "rows", "Most rows in one answer."},
+    {"limits", "slots_per_server", key_form::number, 1, 1000, "2", false, "", "requests",
+     "Requests that a server runs at a time."},
+    {"limits", "connections_per_server", key_form::number, 1, 10000, "25", false, "", "connections",
+     "Connections that a server takes from all nodes together."},
+    {"limits", "queue_per_server", key_form::number, 0, 10000, "64", false, "", "requests",
+     "Requests that one node keeps waiting for a server."},
+    {"extra_load", "percent", key_form::number, 0, 100, "5", false, "", "percent",
+     "Hedges and retries together, in proportion to the requests needed."},
+    {"extra_load", "burst", key_form::number, 0, 10000, "20", false, "", "requests",
+     "Hedges and retries that may be saved up while none are needed."},
+    {"hedge", "enabled", key_form::choice, 0, 0, "yes", false, "yes|no", "", "Whether hedges are sent."},
+    {"hedge", "min_delay_ms", key_form::number, 1, 60000, "10", false, "", "ms",
+     "Earliest hedge; the shard's own 95th percentile applies when it is longer."},
+}};
+
+duration milliseconds_of(const ini_document& document, std::string_view group, std::string_view key) {
+    return std::chrono::milliseconds{document.number(group, key)};
+}
+
+std::uint32_t count_of(const ini_document& document, std::string_view group, std::string_view key) {
+    return static_cast<std::uint32_t>(document.number(group, key));
+}
+
+bool is_name(std::string_view text) {
+    constexpr std::string_view allowed = "abcdefghijklmnopqrstuvwxyz0123456789-";
+    return text.find_first_not_of(allowed) == std::string_view::npos;
+}
+
+} // namespace
+
+std::span<const key_rule> service_document_rules() {
+    return rules;
+}
+
+tl::expected<service_document, std::vector<settings_error>> parse_service_document(std::string_view text) {
+    const auto ini = ini_document::parse(text, rules);
+    if (!ini)
+        return tl::unexpected{ini.error()};
+
+    service_document it;
+    it.name = service_name{ini->text("service", "name")};
+    it.default_deadline = milliseconds_of(*ini, "service", "deadline_ms");
+    it.max_deadline = milliseconds_of(*ini, "service", "max_deadline_ms");
+    it.preference =
+        ini->text("service", "prefer") == "tail" ? answer_preference::tail : answer_preference::coverage;
+    it.min_coverage_percent = count_of(*ini, "service", "min_coverage_percent");
+    it.tail_cut = milliseconds_of(*ini, "service", "tail_cut_ms");
+    it.orders_allowed = ini->text("service", "orders") == "allowed";
+    it.max_rows = count_of(*ini, "service", "max_rows");
+    it.slots_per_server = count_of(*ini, "limits", "slots_per_server");
+    it.connections_per_server = count_of(*ini, "limits", "connections_per_server");
+    it.queue_per_server = count_of(*ini, "limits", "queue_per_server");
+    it.extra_load_percent = count_of(*ini, "extra_load", "percent");
+    it.extra_load_burst = count_of(*ini, "extra_load", "burst");
+    it.hedge_enabled = ini->text("hedge", "enabled") == "yes";
+    it.hedge_min_delay = milliseconds_of(*ini, "hedge", "min_delay_ms");
+
+    std::vector<settings_error> errors;
+    if (!is_name(it.name.value())) {
+        errors.push_back({settings_error_code::not_a_choice, "service", "name", 0,
+                          "lower-case letters, digits and hyphens"});
+    }
+    if (it.default_deadline > it.max_deadline) {
+        errors.push_back({settings_error_code::inconsistent, "service", "deadline_ms", 0,
+                          "must not be above max_deadline_ms"});
+    }
+    if (!errors.empty())
+        return tl::unexpected{std::move(errors)};
+    return it;
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/core/shard_func.cpp
@@ -0,0 +1,84 @@
+/** @file shard_func.cpp Checks of shard maps, and the merge of rows. */
+#include "core/shard_func.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <charconv>
+#include <set>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> shard_map_error_names{"malformed", "no_shards", "too_many",
+                                                                "duplicate_shard", "bad_address"};
+
+/** Reads a number of at most @p most off the front of @p text. */
+bool take_number(std::string_view& text, unsigned most) {
+    unsigned n = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (ec != std::errc{} || n > most)
+        return false;
+    text.remove_prefix(static_cast<std::size_t>(end - text.data()));
+    return true;
+}
+
+bool take_char(std::string_view& text, char wanted) {
+    if (!text.starts_with(wanted))
+        return false;
+    text.remove_prefix(1);
+    return true;
+}
+
+} // namespace
+
+std::string_view to_string(shard_map_error it) {
+    return shard_map_error_names.at(static_cast<std::size_t>(it));
+}
+
+bool is_address(std::string_view text) {
+    constexpr unsigned max_octet = 255;
+    constexpr unsigned max_port = 65535;
+    for (const char separator : {'.', '.', '.', ':'}) {
+        if (!take_number(text, max_octet) || !take_char(text, separator))
+            return false;
+    }
+    return !text.starts_with('0') && take_number(text, max_port) && text.empty();
+}
+
+tl::expected<void, shard_map_error> check(const shard_map& map) {
+    if (map.shards.empty())
+        return tl::unexpected{shard_map_error::no_shards};
+    if (map.shards.size() > max_shards)
+        return tl::unexpected{shard_map_error::too_many};
+    std::set<shard_id> seen;
+    for (const shard_entry& it : map.shards) {
+        if (!seen.insert(it.id).second)
+            return tl::unexpected{shard_map_error::duplicate_shard};
+        if (it.replicas.size() > max_replicas)
+            return tl::unexpected{shard_map_error::too_many};
+        const auto valid = [](const upstream_address& address) { return is_address(address.value()); };
+        if (!std::all_of(it.replicas.begin(), it.replicas.end(), valid))
+            return tl::unexpected{shard_map_error::bad_address};
+    }
+    return {};
+}
+
+const shard_entry& shard_of_number(const shard_map& map, std::uint64_t number) {
+    assert(!map.shards.empty());
+    return map.shards.at(number % map.shards.size());
+}
+
+void merge_rows(std::vector<result_row>& rows, std::size_t limit) {
+    const auto before = [](const result_row& a, const result_row& b) {
+        if (a.score != b.score)
+            return a.score > b.score;
+        return a.key < b.key;
+    };
+    const auto kept = std::min(limit, rows.size());
+    std::partial_sort(rows.begin(), rows.begin() + static_cast<std::ptrdiff_t>(kept), rows.end(), before);
+    rows.resize(kept);
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/core/shard_func.h
@@ -0,0 +1,37 @@
+/** @file shard_func.h Free functions over shard maps and rows. */
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "core/shard_type.h"
+
+namespace pollengrade {
+
+/** What is wrong with a shard map. */
+enum class shard_map_error : std::uint8_t {
+    malformed,       ///< not the JSON shape of a shard map
+    no_shards,       ///< a version without shards
+    too_many,        ///< over max_shards or max_replicas
+    duplicate_shard, ///< one shard stands twice
+    bad_address,     ///< a server is not "IPv4:port"
+};
+
+/** @return the name of @p it as it appears in messages. */
+[[nodiscard]] std::string_view to_string(shard_map_error it);
+
+/** @return whether @p text is a dotted IPv4 address, a colon and a port from 1 to 65535. */
+[[nodiscard]] bool is_address(std::string_view text);
+
+/** @return the first thing wrong with @p map, if anything is. */
+[[nodiscard]] tl::expected<void, shard_map_error> check(const shard_map& map);
+
+/** @return the shard that holds @p number. @pre @p map has shards */
+[[nodiscard]] const shard_entry& shard_of_number(const shard_map& map, std::uint64_t number);
+
+/** Sorts @p rows by score, then by key, and keeps the first @p limit. */
+void merge_rows(std::vector<result_row>& rows, std::size_t limit);
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/core/shard_type.h
@@ -0,0 +1,93 @@
+/** @file shard_type.h Light types of shard maps, shard requests and shard replies. */
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "core/error_type.h"
+#include "core/id_type.h"
+#include "core/time_type.h"
+
+namespace pollengrade {
+
+inline constexpr std::size_t max_shards = 4096;             ///< most shards in a shard map
+inline constexpr std::size_t max_replicas = 16;             ///< most servers of one shard
+inline constexpr std::size_t max_reply_bytes = 1024 * 1024; ///< longest reply of one server
+inline constexpr std::size_t max_query_bytes = 4096;        ///< longest search text or order body
+inline constexpr std::size_t max_request_id_bytes = 64;     ///< longest request ID
+
+/** One shard and the servers that hold it. */
+struct shard_entry {
+    shard_id id;                            ///< the shard
+    std::vector<upstream_address> replicas; ///< its servers, in no order
+};
+
+/** How one index version is cut into shards. */
+struct shard_map {
+    index_version version;           ///< the snapshot that the map describes
+    std::vector<shard_entry> shards; ///< every shard of the snapshot
+};
+
+using shard_map_ptr = std::shared_ptr<const shard_map>;
+
+/** What a request asks for. */
+enum class query_kind : std::uint8_t {
+    search, ///< every shard; idempotent
+    lookup, ///< the one shard that holds a number; idempotent
+    order,  ///< the one shard that holds a number; non-idempotent
+};
+
+/** The part of a request that servers see. */
+struct shard_query {
+    query_kind kind = query_kind::search; ///< what is asked
+    std::string text;                     ///< search text, or the body of an order
+    std::uint64_t number = 0;             ///< the number looked up or ordered
+    std::uint32_t max_rows = 0;           ///< most rows wanted
+    std::string idempotency_key;          ///< names an order; empty for the others
+};
+
+/** One result row. */
+struct result_row {
+    std::int64_t score = 0; ///< higher first
+    std::string key;        ///< breaks ties, ascending
+    std::string text;       ///< what the caller sees
+
+    friend bool operator==(const result_row&, const result_row&) = default;
+};
+
+/** One server's reply. */
+struct shard_reply {
+    request_id request;                 ///< the request it answers
+    shard_id shard;                     ///< the shard it searched
+    index_version version;              ///< the snapshot it read
+    std::vector<result_row> rows;       ///< matches, best first
+    std::uint32_t server_in_flight = 0; ///< requests running at the server as it replied
+    bool server_draining = false;       ///< whether the server is leaving
+    std::string server_incarnation;     ///< changes when the server restarts
+};
+
+/** One attempt's failure. */
+struct attempt_failure {
+    attempt_error code = attempt_error::not_sent; ///< what went wrong
+    duration retry_after{};                       ///< when the server wants to be asked again
+};
+
+using attempt_result = tl::expected<shard_reply, attempt_failure>;
+
+/** One request to one server. */
+struct attempt_request {
+    upstream_address to;                      ///< the server
+    service_name service;                     ///< the service
+    request_id request;                       ///< the caller's request
+    shard_id shard;                           ///< the shard wanted
+    index_version version;                    ///< the pinned snapshot
+    time_point deadline;                      ///< when the answer is of no more use
+    std::shared_ptr<const shard_query> query; ///< what is asked
+};
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/ctl/document_command.cpp
@@ -0,0 +1,285 @@
+/** @file document_command.cpp Check, apply, get and list. */
+#include "ctl/document_command.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+#include <glib.h>
+
+#include "core/service_document.h"
+#include "ctl/http_call.h"
+#include "http/codec.h"
+#include "http/http_func.h"
+#include "http/json_view.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_conflict = 409;
+constexpr gulong poll_interval_us = 50'000; ///< between two looks at the nodes
+
+/** A document as the platform holds it. */
+struct remote_document {
+    std::uint64_t version = 0; ///< 0 when there is none
+    std::string value;         ///< its text
+};
+
+std::optional<std::string> read_file(const std::string& path) {
+    const std::ifstream in{path, std::ios::binary};
+    if (!in)
+        return std::nullopt;
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+std::string kind_path(config_kind kind) {
+    return kind == config_kind::service_document ? "service" : "shardmap";
+}
+
+std::string object_path(config_kind kind, const std::string& name) {
+    return "/v1/objects/" + kind_path(kind) + "/" + escape_uri(name);
+}
+
+/** Says what is wrong on standard error. */
+exit_code fail(exit_code code, const std::string& text) {
+    std::cerr << "pollengradectl: " << text << "\n";
+    return code;
+}
+
+/** @return the document's name when the text is right; prints every error otherwise. */
+std::optional<std::string> checked_name(const std::string& path, const std::string& text) {
+    const auto document = parse_service_document(text);
+    if (document)
+        return document->name.value();
+    for (const settings_error& it : document.error())
+        std::cerr << path << ": " << describe(it) << "\n";
+    return std::nullopt;
+}
+
+tl::expected<remote_document, exit_code> fetch(const command_context& context, config_kind kind,
+                                               const std::string& name) {
+    const auto reply =
+        call({.address = context.platform, .path = object_path(kind, name), .body = {}, .headers = {}});
+    if (!reply)
+        return tl::unexpected{exit_code::unreachable};
+    if (reply->status == status_not_found)
+        return remote_document{};
+    const auto document = json_document::parse(reply->body);
+    const auto version = document ? document->root().natural("version") : std::nullopt;
+    const auto value = document ? document->root().text("value") : std::nullopt;
+    if (reply->status != status_ok || !version || !value)
+        return tl::unexpected{exit_code::unreachable};
+    return remote_document{*version, std::string{*value}};
+}
+
+std::vector<std::string> lines_of(const std::string& text) {
+    std::vector<std::string> lines;
+    std::istringstream in{text};
+    for (std::string line; std::getline(in, line);)
+        lines.push_back(line);
+    return lines;
+}
+
+/** Prints the lines that only one of two texts has. */
+void print_difference(const std::string& theirs, const std::string& ours) {
+    const auto their_lines = lines_of(theirs);
+    const auto our_lines = lines_of(ours);
+    const auto print_missing = [](const auto& lines, const auto& others, const char* mark) {
+        for (const std::string& it : lines) {
+            if (std::find(others.begin(), others.end(), it) == others.end())
+                std::cerr << mark << it << "\n";
+        }
+    };
+    print_missing(their_lines, our_lines, "- ");
+    print_missing(our_lines, their_lines, "+ ");
+}
+
+/** Writes the document and settles a lost reply by reading it back. @return its version */
+tl::expected<std::uint64_t, exit_code> write(const command_context& context, const apply_arguments& arguments,
+                                             const std::string& text, std::uint64_t expected) {
+    const std::string path =
+        object_path(arguments.kind, arguments.name) + "?if_version=" + std::to_string(expected);
+    const auto reply =
+        call({.method = "PUT", .address = context.platform, .path = path, .body = text, .headers = {}});
+    if (reply && reply->status == status_ok) {
+        const auto document = json_document::parse(reply->body);
+        if (const auto version = document ? document->root().natural("version") : std::nullopt)
+            return *version;
+    }
+    if (!reply && reply.error() == call_error::not_sent) {
+        std::cerr << "pollengradectl: the platform at " << context.platform
+                  << " was not reached; nothing changed\n";
+        return tl::unexpected{exit_code::unreachable};
+    }
+    const bool conflict = reply && reply->status == status_conflict;
+    const auto now = fetch(context, arguments.kind, arguments.name);
+    if (!now) {
+        std::cerr << "pollengradectl: the reply was lost and reading back failed: it may have taken effect; "
+                     "run 'get' once the platform is back\n";
+        return tl::unexpected{exit_code::unknown};
+    }
+    if (!conflict && now->version != expected && now->value == text)
+        return now->version;
+    if (now->version == expected) {
+        std::cerr << "pollengradectl: the platform did not take the write; nothing changed so far\n";
+        return tl::unexpected{exit_code::unknown};
+    }
+    std::cerr << "pollengradectl: " << arguments.name << " is at version " << now->version << ", not "
+              << expected
+              << ": somebody else changed it, and nothing was written. Theirs (-) against yours (+):\n";
+    print_difference(now->value, text);
+    return tl::unexpected{exit_code::conflict};
+}
+
+/** @return whether a node's status page says that the version is in force. */
+bool is_in_force(const std::string& status, const apply_arguments& arguments, std::uint64_t version) {
+    const char* member =
+        arguments.kind == config_kind::service_document ? "document_version" : "shard_maps_version";
+    const auto document = json_document::parse(status);
+    const auto services = document ? document->root().member("services") : std::nullopt;
+    const auto elements = services ? services->elements() : std::nullopt;
+    if (!elements)
+        return false;
+    return std::any_of(elements->begin(), elements->end(), [&](const json_view& it) {
+        return it.text("name") == arguments.name && it.natural(member).value_or(0) >= version;
+    });
+}
+
+exit_code wait_in_force(const command_context& context, const apply_arguments& arguments,
+                        std::uint64_t version) {
+    std::vector<std::string> lacking = context.nodes;
+    const gint64 end = g_get_monotonic_time() + gint64{arguments.wait_seconds} * G_USEC_PER_SEC;
+    while (true) {
+        std::vector<std::string> still;
+        for (const std::string& it : lacking) {
+            const auto status =
+                call({.address = it, .path = "/status", .body = {}, .headers = {}, .limit_seconds = 1});
+            if (!status || !is_in_force(status->body, arguments, version))
+                still.push_back(it);
+        }
+        lacking = std::move(still);
+        if (lacking.empty() || g_get_monotonic_time() >= end)
+            break;
+        g_usleep(poll_interval_us);
+    }
+    const std::size_t in_force = context.nodes.size() - lacking.size();
+    if (context.json) {
+        json_writer out;
+        out.begin_object().member("name", arguments.name).member("version", version);
+        out.member("nodes_in_force", std::uint64_t{in_force})
+            .member("nodes_known", std::uint64_t{context.nodes.size()});
+        out.name("lacking").begin_array();
+        for (const std::string& it : lacking)
+            out.value(it);
+        std::cout << out.end_array().end_object().take() << "\n";
+    } else {
+        std::cout << arguments.name << " version " << version << " in force on " << in_force << " of "
+                  << context.nodes.size() << " nodes\n";
+        for (const std::string& it : lacking)
+            std::cout << "  not yet: " << it << "\n";
+    }
+    return lacking.empty() ? exit_code::success : exit_code::negative;
+}
+
+} // namespace
+
+exit_code check_document(const command_context& context, const std::string& path) {
+    const auto text = read_file(path);
+    if (!text)
+        return fail(exit_code::usage, "cannot read " + path);
+    const auto name = checked_name(path, *text);
+    if (!name)
+        return exit_code::invalid;
+    if (!context.json)
+        std::cout << path << ": a right document of service " << *name << "\n";
+    return exit_code::success;
+}
+
+exit_code apply_document(const command_context& context, const apply_arguments& given) {
+    apply_arguments arguments = given;
+    const auto text = read_file(arguments.path);
+    if (!text)
+        return fail(exit_code::usage, "cannot read " + arguments.path);
+    if (arguments.kind == config_kind::service_document) {
+        const auto name = checked_name(arguments.path, *text);
+        if (!name)
+            return exit_code::invalid;
+        arguments.name = *name;
+    } else if (const auto maps = decode_shard_maps(*text); !maps) {
+        return fail(exit_code::invalid, arguments.path + ": " + std::string{to_string(maps.error())});
+    }
+    std::uint64_t expected = 0;
+    if (arguments.expected.empty()) {
+        const auto now = fetch(context, arguments.kind, arguments.name);
+        if (!now)
+            return fail(now.error(),
+                        "the platform at " + context.platform + " was not reached; nothing changed");
+        expected = now->version;
+    } else if (const auto n = parse_natural(arguments.expected.c_str())) {
+        expected = *n;
+    } else {
+        return fail(exit_code::usage, "--expect takes a version, or 0 for a new document");
+    }
+    const auto version = write(context, arguments, *text, expected);
+    if (!version)
+        return version.error();
+    return wait_in_force(context, arguments, *version);
+}
+
+exit_code get_document(const command_context& context, config_kind kind, const std::string& name) {
+    const auto document = fetch(context, kind, name);
+    if (!document)
+        return fail(document.error(), "the platform at " + context.platform + " was not reached");
+    if (document->version == 0)
+        return fail(exit_code::negative, "there is no document " + name);
+    if (context.json) {
+        json_writer out;
+        out.begin_object().member("name", name).member("version", document->version);
+        std::cout << out.member("value", document->value).end_object().take() << "\n";
+    } else {
+        std::cout << document->value;
+        std::cerr << "version " << document->version << "\n";
+    }
+    return exit_code::success;
+}
+
+exit_code list_documents(const command_context& context) {
+    json_writer out;
+    out.begin_array();
+    for (const config_kind kind : {config_kind::service_document, config_kind::shard_maps}) {
+        const auto reply = call({.address = context.platform,
+                                 .path = "/v1/objects/" + kind_path(kind),
+                                 .body = {},
+                                 .headers = {}});
+        const auto document = reply ? json_document::parse(reply->body) : std::nullopt;
+        const auto objects = document ? document->root().member("objects") : std::nullopt;
+        const auto elements = objects ? objects->elements() : std::nullopt;
+        if (!elements)
+            return fail(exit_code::unreachable, "the platform at " + context.platform + " was not reached");
+        for (const json_view& it : *elements) {
+            const std::string name{it.text("name").value_or("")};
+            const std::uint64_t version = it.natural("version").value_or(0);
+            if (context.json) {
+                out.begin_object().member("kind", kind_path(kind)).member("name", name);
+                out.member("version", version).end_object();
+            } else {
+                std::cout << kind_path(kind) << " " << name << " " << version << "\n";
+            }
+        }
+    }
+    if (context.json)
+        std::cout << out.end_array().take() << "\n";
+    return exit_code::success;
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/ctl/main.cpp
@@ -0,0 +1,184 @@
+/** @file main.cpp The operators' command line. */
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <cxxopts.hpp>
+
+#include "ctl/command_type.h"
+#include "ctl/document_command.h"
+#include "ctl/node_command.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr const char* manual = R"(
+Documents (these need --platform):
+  check FILE                 say what is wrong with a service document
+  apply FILE                 put a service document in force on every node
+  apply-shard-maps NAME FILE the same for the snapshots of a service
+  get NAME                   print a service document
+  get-shard-maps NAME        print the snapshots of a service
+  list                       print all documents and their versions
+Nodes (these need --node once for each node, its operators' address):
+  status                     nodes, versions in force, upstreams that drain
+  timeline                   events of all nodes in one causal order
+Requests (these need --callers, a node's or the balancer's address):
+  query SERVICE TEXT         search every shard
+  lookup SERVICE NUMBER      look one number up
+  order SERVICE NUMBER JSON  confirm an order, at most once for each --key
+
+Exit codes: 0 done; 1 done, but partial, refused or not in force everywhere;
+2 wrong usage; 3 wrong document or request; 4 somebody else changed the document;
+5 not reached; 6 it cannot be known whether it took effect.
+
+Example:
+  pollengradectl --platform 127.0.0.1:7000 --node 127.0.0.1:8101 apply catalogue-desk.ini
+  pollengradectl --callers 127.0.0.1:8001 query catalogue-desk "vine leaf"
+)";
+
+using words = std::vector<std::string>;
+
+/** A command: how many arguments it takes, what it needs, what it does. */
+struct command {
+    std::size_t arguments = 0;
+    const char* needs = "";
+    std::function<exit_code(const command_context&, const words&, const cxxopts::ParseResult&)> run;
+};
+
+std::string text_flag(const cxxopts::ParseResult& flags, const char* name) {
+    return flags.count(name) > 0 ? flags[name].as<std::string>() : std::string{};
+}
+
+exit_code apply(const command_context& context, config_kind kind, const std::string& name,
+                const std::string& path, const cxxopts::ParseResult& flags) {
+    return apply_document(context,
+                          {kind, name, path, text_flag(flags, "expect"), flags["wait"].as<unsigned>()});
+}
+
+exit_code ask(const command_context& context, query_kind kind, const words& it,
+              const cxxopts::ParseResult& flags) {
+    query_arguments arguments{it[0], it[1], {}, text_flag(flags, "key"), text_flag(flags, "deadline-ms")};
+    if (kind == query_kind::order) {
+        arguments.number = it[1];
+        arguments.text = it[2];
+    }
+    return run_query(context, kind, arguments);
+}
+
+const std::map<std::string, command>& commands() {
+    using flags_type = const cxxopts::ParseResult&;
+    using context_type = const command_context&;
+    static const std::map<std::string, command> all{
+        {"check",
+         {1, "", [](context_type c, const words& it, flags_type) { return check_document(c, it[0]); }}},
+        {"apply",
+         {1, "platform",
+          [](context_type c, const words& it, flags_type flags) {
+              return apply(c, config_kind::service_document, {}, it[0], flags);
+          }}},
+        {"apply-shard-maps",
+         {2, "platform",
+          [](context_type c, const words& it, flags_type flags) {
+              return apply(c, config_kind::shard_maps, it[0], it[1], flags);
+          }}},
+        {"get",
+         {1, "platform",
+          [](context_type c, const words& it, flags_type) {
+              return get_document(c, config_kind::service_document, it[0]);
+          }}},
+        {"get-shard-maps",
+         {1, "platform",
+          [](context_type c, const words& it, flags_type) {
+              return get_document(c, config_kind::shard_maps, it[0]);
+          }}},
+        {"list", {0, "platform", [](context_type c, const words&, flags_type) { return list_documents(c); }}},
+        {"status", {0, "node", [](context_type c, const words&, flags_type) { return show_status(c); }}},
+        {"timeline",
+         {0, "node",
+          [](context_type c, const words&, flags_type flags) {
+              return show_timeline(
+                  c, {text_flag(flags, "request"), text_flag(flags, "subject"), flags.count("trace") > 0});
+          }}},
+        {"query",
+         {2, "callers",
+          [](context_type c, const words& it, flags_type flags) {
+              return ask(c, query_kind::search, it, flags);
+          }}},
+        {"lookup",
+         {2, "callers",
+          [](context_type c, const words& it, flags_type flags) {
+              return ask(c, query_kind::lookup, it, flags);
+          }}},
+        {"order", {3, "callers", [](context_type c, const words& it, flags_type flags) {
+                       return ask(c, query_kind::order, it, flags);
+                   }}}};
+    return all;
+}
+
+exit_code usage(const std::string& text) {
+    std::cerr << "pollengradectl: " << text << "; see pollengradectl --help\n";
+    return exit_code::usage;
+}
+
+exit_code run(int argc, char** argv) {
+    cxxopts::Options options{"pollengradectl", "Drives the pollengrade query tier."};
+    options.positional_help("COMMAND [ARGUMENT...]");
+    options.add_options()("platform", "IPv4:port of the platform's object API",
+                          cxxopts::value<std::string>())(
+        "node", "IPv4:port of a node's operators' page; once for each node",
+        cxxopts::value<std::vector<std::string>>())("callers", "IPv4:port where callers are served",
+                                                    cxxopts::value<std::string>())("json", "print JSON")(
+        "expect", "apply: the version that the document replaces", cxxopts::value<std::string>())(
+        "wait", "apply: seconds to wait until every node has it in force",
+        cxxopts::value<unsigned>()->default_value("5"))("request", "timeline: only this request",
+                                                        cxxopts::value<std::string>())(
+        "subject", "timeline: only this service, server or node", cxxopts::value<std::string>())(
+        "trace", "timeline: JSON for trace viewers")("key", "order: the idempotency key, a UUIDv7",
+                                                     cxxopts::value<std::string>())(
+        "deadline-ms", "requests: the deadline",
+        cxxopts::value<std::string>())("help", "this text")("words", "", cxxopts::value<words>());
+    options.parse_positional({"words"});
+    const auto flags = options.parse(argc, argv);
+    if (flags.count("help") > 0) {
+        std::cout << options.help() << manual;
+        return exit_code::success;
+    }
+    if (flags.count("words") == 0)
+        return usage("no command");
+    words arguments = flags["words"].as<words>();
+    const std::string name = arguments.front();
+    arguments.erase(arguments.begin());
+    const auto it = commands().find(name);
+    if (it == commands().end())
+        return usage("unknown command " + name);
+    if (arguments.size() != it->second.arguments)
+        return usage(name + " takes " + std::to_string(it->second.arguments) + " arguments");
+    command_context context;
+    context.platform = text_flag(flags, "platform");
+    context.callers = text_flag(flags, "callers");
+    context.json = flags.count("json") > 0;
+    if (flags.count("node") > 0)
+        context.nodes = flags["node"].as<words>();
+    const std::string needs = it->second.needs;
+    if (!needs.empty() && flags.count(needs) == 0)
+        return usage(name + " needs --" + needs);
+    return it->second.run(context, arguments, flags);
+}
+
+} // namespace
+
+} // namespace pollengrade
+
+int main(int argc, char** argv) {
+    try {
+        return static_cast<int>(pollengrade::run(argc, argv));
+    } catch (const cxxopts::exceptions::exception& ec) {
+        std::cerr << "pollengradectl: " << ec.what() << "; see pollengradectl --help\n";
+        return static_cast<int>(pollengrade::exit_code::usage);
+    }
+}
--- /dev/null
+++ b/packages/http/http_func.cpp
@@ -0,0 +1,53 @@
+/** @file http_func.cpp Small helpers over libsoup. */
+#include "http/http_func.h"
+
+#include <cassert>
+#include <charconv>
+
+namespace pollengrade {
+
+std::optional<std::uint64_t> parse_natural(const char* text) {
+    if (text == nullptr)
+        return std::nullopt;
+    const std::string_view digits{text};
+    std::uint64_t n = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), n);
+    if (ec != std::errc{} || end != digits.data() + digits.size())
+        return std::nullopt;
+    return n;
+}
+
+std::string escape_uri(std::string_view text) {
+    const auto* bytes =
+        reinterpret_cast<const guint8*>(text.data()); // NOLINT(*-reinterpret-cast): GLib's bytes
+    const gchar_ptr escaped{g_uri_escape_bytes(bytes, text.size(), nullptr)};
+    return std::string{escaped.get()};
+}
+
+std::string_view view_of(GBytes* bytes) {
+    gsize size = 0;
+    const void* data = g_bytes_get_data(bytes, &size);
+    return {static_cast<const char*>(data), size};
+}
+
+gobject_ptr<SoupSession> make_session(std::uint32_t connections, guint idle_seconds) {
+    const auto most = static_cast<int>(connections);
+    GObject* session = G_OBJECT(g_object_new(SOUP_TYPE_SESSION, "max-conns", most, "max-conns-per-host", most,
+                                             "idle-timeout", idle_seconds, "timeout", 0, "proxy-resolver",
+                                             nullptr, nullptr));
+    gobject_ptr<SoupSession> it{SOUP_SESSION(session)};
+    soup_session_remove_feature_by_type(it.get(), SOUP_TYPE_CONTENT_DECODER);
+    soup_session_remove_feature_by_type(it.get(), SOUP_TYPE_AUTH_MANAGER);
+    return it;
+}
+
+gobject_ptr<GSocketAddress> to_socket_address(std::string_view address) {
+    const auto colon = address.find(':');
+    assert(colon != std::string_view::npos);
+    const std::string host{address.substr(0, colon)};
+    const auto port = parse_natural(std::string{address.substr(colon + 1)}.c_str());
+    return gobject_ptr<GSocketAddress>{
+        g_inet_socket_address_new_from_string(host.c_str(), static_cast<guint>(port.value_or(0)))};
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/http/json_view.h
@@ -0,0 +1,86 @@
+/** @file json_view.h Bounded reading and plain writing of JSON. */
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <json-glib/json-glib.h>
+
+#include "runtime/glib_ptr.h"
+
+namespace pollengrade {
+
+inline constexpr int max_json_depth = 16; ///< deepest nesting that is read
+
+/** A value within a document that outlives it. */
+class json_view {
+public:
+    explicit json_view(JsonNode* node) : node_{node} {}
+
+    /** @return a member of an object; nullopt when this is no object or has no such member. */
+    [[nodiscard]] std::optional<json_view> member(const char* name) const;
+    /** @return the elements of an array; nullopt when this is no array. */
+    [[nodiscard]] std::optional<std::vector<json_view>> elements() const;
+    [[nodiscard]] std::optional<std::int64_t> integer() const;
+    [[nodiscard]] std::optional<std::string_view> text() const;
+    [[nodiscard]] std::optional<bool> boolean() const;
+
+    /** The same of a member. */
+    [[nodiscard]] std::optional<std::int64_t> integer(const char* name) const;
+    [[nodiscard]] std::optional<std::string_view> text(const char* name) const;
+    [[nodiscard]] std::optional<bool> boolean(const char* name) const;
+    /** @return a member that must not be negative. */
+    [[nodiscard]] std::optional<std::uint64_t> natural(const char* name) const;
+
+private:
+    JsonNode* node_; ///< owned by the document
+};
+
+/** A parsed JSON text. */
+class json_document {
+public:
+    /** @return the document; nullopt when @p text is not JSON or is nested too deeply. */
+    static std::optional<json_document> parse(std::string_view text);
+
+    [[nodiscard]] json_view root() const { return json_view{json_parser_get_root(parser_.get())}; }
+
+private:
+    explicit json_document(gobject_ptr<JsonParser> parser) : parser_{std::move(parser)} {}
+
+    gobject_ptr<JsonParser> parser_; ///< owns all nodes
+};
+
+/** Builds a JSON text. Calls chain. */
+class json_writer {
+public:
+    json_writer() : builder_{json_builder_new()} {}
+
+    json_writer& begin_object();
+    json_writer& end_object();
+    json_writer& begin_array();
+    json_writer& end_array();
+    json_writer& name(const char* it);
+    json_writer& value(std::int64_t it);
+    json_writer& value(std::uint64_t it) { return value(static_cast<std::int64_t>(it)); }
+    json_writer& value(std::uint32_t it) { return value(static_cast<std::int64_t>(it)); }
+    json_writer& value(std::string_view it);
+    json_writer& value(bool it);
+    json_writer& value(const char* it) { return value(std::string_view{it}); }
+    json_writer& value(const std::string& it) { return value(std::string_view{it}); }
+
+    /** Adds a named value. */
+    template <typename T> json_writer& member(const char* key, const T& it) { return name(key).value(it); }
+
+    /** @return the text. @pre every object and array is ended */
+    [[nodiscard]] std::string take();
+
+private:
+    gobject_ptr<JsonBuilder> builder_; ///< the text so far
+};
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/runtime/loop_clock.h
@@ -0,0 +1,42 @@
+/** @file loop_clock.h Moves a timer queue with the GLib main loop. */
+#pragma once
+
+#include "core/timer_queue.h"
+#include "runtime/glib_ptr.h"
+
+namespace pollengrade {
+
+/** The process's clock: monotonic time, read each time the loop wakes. */
+class loop_clock {
+public:
+    loop_clock();
+    loop_clock(const loop_clock&) = delete;
+    loop_clock& operator=(const loop_clock&) = delete;
+    loop_clock(loop_clock&&) = delete;
+    loop_clock& operator=(loop_clock&&) = delete;
+    ~loop_clock();
+
+    /** @return the timers that the loop drives. */
+    [[nodiscard]] timer_queue& timers() noexcept { return timers_; }
+
+    /**
+     * Reads the time and runs what is due.
+     * Called first by every callback of the loop, so that what it decides rests on the present time.
+     */
+    void sync();
+
+private:
+    void rearm();
+    static gboolean on_timeout(gpointer self);
+
+    timer_queue timers_;   ///< what the loop drives
+    GSource* source_;      ///< wakes the loop at the earliest deadline
+    bool syncing_ = false; ///< whether sync() is on the call stack
+};
+
+/** @return the monotonic time now. */
+[[nodiscard]] time_point monotonic_now();
+/** @return the wall time now. */
+[[nodiscard]] wall_time wall_now();
+
+} // namespace pollengrade
--- /dev/null
+++ b/standins/standin_upstreams.cpp
@@ -0,0 +1,232 @@
+/** @file standin_upstreams.cpp Many stand-in servers of one service in one process. */
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <cxxopts.hpp>
+#include <libsoup/soup.h>
+
+#include "http/http_func.h"
+#include "http/json_view.h"
+#include "runtime/glib_ptr.h"
+#include "runtime/loop_clock.h"
+#include "runtime/random_source.h"
+#include "upstream_server.h"
+
+namespace pollengrade {
+
+namespace {
+
+/** Where the servers are: 127.NET.SHARD.(1 + replica):port. */
+struct layout {
+    std::string service;
+    std::uint32_t net = 0;
+    std::uint32_t shards = 0;
+    std::uint32_t replicas = 0;
+    std::uint32_t port = 0;
+
+    [[nodiscard]] std::string address(std::uint32_t shard, std::uint32_t replica) const {
+        return "127." + std::to_string(net) + "." + std::to_string(shard) + "." +
+               std::to_string(replica + 1) + ":" + std::to_string(port);
+    }
+
+    [[nodiscard]] std::string shard_maps(const std::set<std::uint64_t>& versions) const {
+        json_writer out;
+        out.begin_object().name("versions").begin_array();
+        for (const std::uint64_t version : versions) {
+            out.begin_object().member("version", version).name("shards").begin_array();
+            for (std::uint32_t shard = 0; shard < shards; ++shard) {
+                out.begin_object().member("id", shard).name("replicas").begin_array();
+                for (std::uint32_t replica = 0; replica < replicas; ++replica)
+                    out.value(address(shard, replica));
+                out.end_array().end_object();
+            }
+            out.end_array().end_object();
+        }
+        return out.end_array().end_object().take();
+    }
+};
+
+/** All servers of the process, and their control page. */
+class standin_upstreams {
+public:
+    standin_upstreams(loop_clock& clock, std::function<std::uint64_t()> random)
+        : clock_{clock}, random_{std::move(random)}, control_{SOUP_SERVER(
+                                                         g_object_new(SOUP_TYPE_SERVER, nullptr))} {
+        soup_server_add_handler(control_.get(), nullptr, &standin_upstreams::on_control, this, nullptr);
+    }
+
+    bool listen(const std::string& control, const layout& where, const upstream_behaviour& behaviour) {
+        for (std::uint32_t shard = 0; shard < where.shards; ++shard) {
+            for (std::uint32_t replica = 0; replica < where.replicas; ++replica) {
+                servers_.push_back(std::make_unique<upstream_server>(clock_, random_, counts_,
+                                                                     where.address(shard, replica),
+                                                                     where.service, shard, behaviour));
+                if (!servers_.back()->start())
+                    return false;
+            }
+        }
+        const auto address = to_socket_address(control);
+        return soup_server_listen(control_.get(), address.get(), static_cast<SoupServerListenOptions>(0),
+                                  nullptr) != FALSE;
+    }
+
+private:
+    static void on_control(SoupServer*, SoupServerMessage* message, const char* path, GHashTable* query,
+                           gpointer self) {
+        auto* it = static_cast<standin_upstreams*>(self);
+        it->clock_.sync();
+        unsigned status = SOUP_STATUS_OK;
+        if (std::string{path} == "/set" && query != nullptr && !it->set(query))
+            status = SOUP_STATUS_BAD_REQUEST;
+        const std::string body = it->counts_json();
+        soup_server_message_set_status(message, status, nullptr);
+        soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, body.data(),
+                                         body.size());
+    }
+
+    /** Applies each named change to the servers asked for: all, one address, or one shard. */
+    bool set(GHashTable* query) {
+        const char* server = static_cast<const char*>(g_hash_table_lookup(query, "server"));
+        const char* shard = static_cast<const char*>(g_hash_table_lookup(query, "shard"));
+        const auto replica = parse_natural(static_cast<const char*>(g_hash_table_lookup(query, "replica")));
+        for (const auto& it : servers_) {
+            if (server != nullptr && it->address() != server)
+                continue;
+            if (shard != nullptr && std::to_string(it->shard()) != shard)
+                continue;
+            if (replica && it->address().find("." + std::to_string(*replica + 1) + ":") == std::string::npos)
+                continue;
+            GHashTableIter position;
+            gpointer key = nullptr;
+            gpointer value = nullptr;
+            g_hash_table_iter_init(&position, query);
+            while (g_hash_table_iter_next(&position, &key, &value) != FALSE) {
+                if (!change(*it, static_cast<const char*>(key), static_cast<const char*>(value)))
+                    return false;
+            }
+        }
+        return true;
+    }
+
+    static bool change(upstream_server& it, const std::string& name, const std::string& value) {
+        upstream_behaviour& is = it.behaviour();
+        const auto n = parse_natural(value.c_str()).value_or(0);
+        const auto count = static_cast<std::uint32_t>(n);
+        const std::map<std::string, std::uint32_t*> counts{{"slots", &is.slots},
+                                                           {"queue", &is.queue},
+                                                           {"connections", &is.connections},
+                                                           {"connect_ms", &is.connect_ms},
+                                                           {"service_us", &is.service_us},
+                                                           {"straggle_per_mille", &is.straggle_per_mille},
+                                                           {"straggle_ms", &is.straggle_ms},
+                                                           {"cold_ms", &is.cold_ms}};
+        const std::map<std::string, bool*> switches{{"frozen", &is.frozen},
+                                                    {"draining", &is.draining},
+                                                    {"shedding", &is.shedding},
+                                                    {"drop_after_run", &is.drop_after_run},
+                                                    {"truncate", &is.truncate},
+                                                    {"wrong_request", &is.wrong_request},
+                                                    {"wrong_version", &is.wrong_version}};
+        if (const auto found = counts.find(name); found != counts.end()) {
+            *found->second = count;
+        } else if (const auto flag = switches.find(name); flag != switches.end()) {
+            *flag->second = n != 0;
+        } else if (name == "versions") {
+            is.versions.clear();
+            std::istringstream in{value};
+            for (std::string version; std::getline(in, version, ',');)
+                is.versions.insert(parse_natural(version.c_str()).value_or(0));
+        } else if (name == "silence") {
+            it.silence_open_connections();
+        } else if (name == "stop") {
+            it.stop();
+        } else if (name == "start") {
+            return it.start();
+        } else {
+            return name == "server" || name == "shard" || name == "replica";
+        }
+        return true;
+    }
+
+    std::string counts_json() {
+        json_writer out;
+        out.begin_object();
+        out.member("started", counts_.started).member("finished", counts_.finished);
+        out.member("cancelled_waiting", counts_.cancelled_waiting);
+        out.member("cancelled_running", counts_.cancelled_running).member("shed", counts_.shed);
+        out.member("connections_refused", counts_.connections_refused);
+        out.member("most_connections", counts_.most_connections).name("orders").begin_object();
+        for (const auto& [key, n] : counts_.orders)
+            out.member(key.c_str(), n);
+        return out.end_object().end_object().take() + "\n";
+    }
+
+    loop_clock& clock_;                                     ///< the process's clock
+    std::function<std::uint64_t()> random_;                 ///< random numbers
+    upstream_counts counts_;                                ///< over all servers
+    std::vector<std::unique_ptr<upstream_server>> servers_; ///< all servers
+    gobject_ptr<SoupServer> control_;                       ///< the control page
+};
+
+int run(int argc, char** argv) {
+    cxxopts::Options options{"standin_upstreams",
+                             "Stand-in servers of one service, at 127.NET.SHARD.REPLICA."};
+    options.add_options()("service", "service",
+                          cxxopts::value<std::string>()->default_value("catalogue-desk"))(
+        "net", "second octet of the addresses", cxxopts::value<std::uint32_t>()->default_value("10"))(
+        "shards", "shards", cxxopts::value<std::uint32_t>()->default_value("10"))(
+        "replicas", "servers a shard", cxxopts::value<std::uint32_t>()->default_value("3"))(
+        "port", "port of every server", cxxopts::value<std::uint32_t>()->default_value("9000"))(
+        "control", "IPv4:port of the control page",
+        cxxopts::value<std::string>()->default_value("127.0.0.1:7100"))(
+        "slots", "slots a server", cxxopts::value<std::uint32_t>()->default_value("2"))(
+        "connections", "connections a server", cxxopts::value<std::uint32_t>()->default_value("25"))(
+        "connect-ms", "cost of a connection", cxxopts::value<std::uint32_t>()->default_value("0"))(
+        "service-us", "mean time of a request", cxxopts::value<std::uint32_t>()->default_value("2000"))(
+        "rows", "rows in a reply", cxxopts::value<std::uint32_t>()->default_value("3"))(
+        "seed", "seed of random numbers", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "print-shard-map", "print the shard maps of these versions and end", cxxopts::value<std::string>());
+    const auto flags = options.parse(argc, argv);
+    const layout where{flags["service"].as<std::string>(), flags["net"].as<std::uint32_t>(),
+                       flags["shards"].as<std::uint32_t>(), flags["replicas"].as<std::uint32_t>(),
+                       flags["port"].as<std::uint32_t>()};
+    if (flags.count("print-shard-map") > 0) {
+        std::set<std::uint64_t> versions;
+        std::istringstream in{flags["print-shard-map"].as<std::string>()};
+        for (std::string version; std::getline(in, version, ',');)
+            versions.insert(parse_natural(version.c_str()).value_or(0));
+        std::cout << where.shard_maps(versions) << "\n";
+        return EXIT_SUCCESS;
+    }
+    upstream_behaviour behaviour;
+    behaviour.slots = flags["slots"].as<std::uint32_t>();
+    behaviour.connections = flags["connections"].as<std::uint32_t>();
+    behaviour.connect_ms = flags["connect-ms"].as<std::uint32_t>();
+    behaviour.service_us = flags["service-us"].as<std::uint32_t>();
+    behaviour.rows = flags["rows"].as<std::uint32_t>();
+    loop_clock clock;
+    standin_upstreams upstreams{clock, seeded_random(flags["seed"].as<std::uint64_t>())};
+    if (!upstreams.listen(flags["control"].as<std::string>(), where, behaviour)) {
+        std::cerr << "standin_upstreams: cannot listen\n";
+        return EXIT_FAILURE;
+    }
+    const gmain_loop_ptr loop{g_main_loop_new(nullptr, FALSE)};
+    g_main_loop_run(loop.get());
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+} // namespace pollengrade
+
+int main(int argc, char** argv) {
+    return pollengrade::run(argc, argv);
+}
--- /dev/null
+++ b/standins/upstream_server.cpp
@@ -0,0 +1,298 @@
+/** @file upstream_server.cpp Behaviour and faults of one stand-in server. */
+#include "upstream_server.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+#include "core/id_type.h"
+#include "http/http_func.h"
+#include "http/json_view.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr std::uint32_t cold_factor = 5;  ///< how much slower a cold server is
+constexpr std::uint64_t per_mille = 1000; ///< for shares
+
+std::string header(SoupServerMessage* message, const char* name) {
+    const char* it = soup_message_headers_get_one(soup_server_message_get_request_headers(message), name);
+    return it == nullptr ? std::string{} : std::string{it};
+}
+
+std::uint64_t number(const std::string& text) {
+    return parse_natural(text.c_str()).value_or(0);
+}
+
+std::string query_text(GHashTable* query, const char* name) {
+    const char* it = query == nullptr ? nullptr : static_cast<const char*>(g_hash_table_lookup(query, name));
+    return it == nullptr ? std::string{} : std::string{it};
+}
+
+std::uint16_t remote_port(SoupServerMessage* message) {
+    GSocketAddress* it = soup_server_message_get_remote_address(message);
+    return it == nullptr ? std::uint16_t{0} : g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(it));
+}
+
+void refuse(SoupServerMessage* message, const char* reason) {
+    SoupMessageHeaders* headers = soup_server_message_get_response_headers(message);
+    soup_message_headers_replace(headers, not_run_header, reason);
+    soup_message_headers_replace(headers, retry_after_ms_header, "20");
+    soup_server_message_set_status(message, SOUP_STATUS_SERVICE_UNAVAILABLE, nullptr);
+}
+
+} // namespace
+
+/** One request. */
+struct upstream_server::work {
+    upstream_server* owner = nullptr;
+    SoupServerMessage* message = nullptr;
+    std::string request;
+    std::string query;
+    std::string key; ///< of an order
+    std::uint64_t version = 0;
+    time_point deadline{};
+    bool gone = false;    ///< the client has disconnected or been answered
+    bool running = false; ///< takes a slot
+    std::optional<timer_id> end;
+};
+
+upstream_server::upstream_server(loop_clock& clock, std::function<std::uint64_t()>& random,
+                                 upstream_counts& counts, std::string address, std::string service,
+                                 std::uint32_t shard, upstream_behaviour behaviour)
+    : clock_{clock}, random_{random}, counts_{counts}, address_{std::move(address)},
+      service_{std::move(service)}, shard_{shard}, behaviour_{std::move(behaviour)} {}
+
+upstream_server::~upstream_server() {
+    stop();
+}
+
+bool upstream_server::start() {
+    incarnation_ = std::to_string(random_());
+    started_ = clock_.timers().now();
+    server_.reset(SOUP_SERVER(g_object_new(SOUP_TYPE_SERVER, nullptr)));
+    soup_server_add_handler(server_.get(), nullptr, &upstream_server::on_request, this, nullptr);
+    listener_.reset(g_socket_service_new());
+    const auto where = to_socket_address(address_);
+    if (g_socket_listener_add_address(G_SOCKET_LISTENER(listener_.get()), where.get(), G_SOCKET_TYPE_STREAM,
+                                      G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, nullptr) == FALSE)
+        return false;
+    g_signal_connect(listener_.get(), "incoming", G_CALLBACK(&upstream_server::on_incoming), this);
+    g_socket_service_start(listener_.get());
+    return true;
+}
+
+void upstream_server::stop() {
+    if (!listener_)
+        return;
+    g_socket_service_stop(listener_.get());
+    g_socket_listener_close(G_SOCKET_LISTENER(listener_.get()));
+    listener_.reset();
+    for (const auto& it : waiting_)
+        it->owner = nullptr;
+    waiting_.clear();
+    for (GObject* it : std::exchange(open_, {})) {
+        g_object_weak_unref(it, &upstream_server::on_connection_gone, this);
+        g_io_stream_close(G_IO_STREAM(it), nullptr, nullptr);
+    }
+    soup_server_disconnect(server_.get());
+    server_.reset();
+    running_ = 0;
+}
+
+void upstream_server::silence_open_connections() {
+    ++epoch_;
+}
+
+gboolean upstream_server::on_incoming(GSocketService*, GSocketConnection* connection, GObject*,
+                                      gpointer self) {
+    auto* it = static_cast<upstream_server*>(self);
+    it->clock_.sync();
+    if (it->open_.size() >= it->behaviour_.connections) {
+        ++it->counts_.connections_refused;
+        g_io_stream_close(G_IO_STREAM(connection), nullptr, nullptr);
+        return TRUE;
+    }
+    g_object_weak_ref(G_OBJECT(connection), &upstream_server::on_connection_gone, self);
+    it->open_.insert(G_OBJECT(connection));
+    it->counts_.most_connections =
+        std::max(it->counts_.most_connections, static_cast<std::uint32_t>(it->open_.size()));
+    if (it->behaviour_.connect_ms == 0) {
+        it->accept(connection);
+        return TRUE;
+    }
+    const auto delay = std::chrono::milliseconds{it->behaviour_.connect_ms};
+    g_object_ref(connection);
+    it->clock_.timers().schedule_after(delay, [it, connection] {
+        if (it->open_.contains(G_OBJECT(connection)))
+            it->accept(connection);
+        g_object_unref(connection);
+    });
+    return TRUE;
+}
+
+void upstream_server::on_connection_gone(gpointer self, GObject* where) {
+    static_cast<upstream_server*>(self)->open_.erase(where);
+}
+
+void upstream_server::accept(GSocketConnection* connection) {
+    const gobject_ptr<GSocketAddress> local{g_socket_connection_get_local_address(connection, nullptr)};
+    const gobject_ptr<GSocketAddress> remote{g_socket_connection_get_remote_address(connection, nullptr)};
+    if (!local || !remote)
+        return;
+    epochs_[g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(remote.get()))] = epoch_;
+    soup_server_accept_iostream(server_.get(), G_IO_STREAM(connection), local.get(), remote.get(), nullptr);
+}
+
+bool upstream_server::is_silent(SoupServerMessage* message) const {
+    const auto it = epochs_.find(remote_port(message));
+    return behaviour_.frozen || (it != epochs_.end() && it->second < epoch_);
+}
+
+const char* upstream_server::refusal(SoupServerMessage* message) const {
+    if (behaviour_.draining)
+        return "draining";
+    if (!behaviour_.versions.contains(number(header(message, index_version_header))))
+        return "version_absent";
+    if (behaviour_.shedding || (running_ >= behaviour_.slots && waiting_.size() >= behaviour_.queue))
+        return "shed";
+    return nullptr;
+}
+
+void upstream_server::on_request(SoupServer*, SoupServerMessage* message, const char* path, GHashTable* query,
+                                 gpointer self) {
+    auto* it = static_cast<upstream_server*>(self);
+    it->clock_.sync();
+    it->take(message, path, query);
+}
+
+void upstream_server::take(SoupServerMessage* message, const std::string& path, GHashTable* query) {
+    const std::string prefix = "/shards/" + service_ + "/" + std::to_string(shard_) + "/";
+    if (!path.starts_with(prefix)) {
+        soup_server_message_set_status(message, SOUP_STATUS_NOT_FOUND, nullptr);
+        return;
+    }
+    if (is_silent(message)) {
+        soup_server_message_pause(message);
+        return;
+    }
+    if (const char* reason = refusal(message)) {
+        if (std::string_view{reason} == "shed")
+            ++counts_.shed;
+        refuse(message, reason);
+        return;
+    }
+    auto it = std::make_shared<work>();
+    it->owner = this;
+    it->message = message;
+    it->request = header(message, request_id_header);
+    it->key = header(message, idempotency_key_header);
+    it->query = query_text(query, path == prefix + "search" ? "q" : "number");
+    it->version = number(header(message, index_version_header));
+    it->deadline =
+        clock_.timers().now() + std::chrono::milliseconds{number(header(message, deadline_ms_header))};
+    soup_server_message_pause(message);
+    auto* share =
+        new std::shared_ptr<work>{it}; // NOLINT(cppcoreguidelines-owning-memory): freed by the signal
+    g_signal_connect(message, "finished", G_CALLBACK(&upstream_server::on_finished), share);
+    waiting_.push_back(std::move(it));
+    start_waiting();
+}
+
+void upstream_server::start_waiting() {
+    while (running_ < behaviour_.slots && !waiting_.empty()) {
+        const std::shared_ptr<work> it = waiting_.front();
+        waiting_.pop_front();
+        if (clock_.timers().now() >= it->deadline) {
+            refuse(it->message, "shed");
+            soup_server_message_unpause(it->message);
+            continue;
+        }
+        begin(it);
+    }
+}
+
+duration upstream_server::draw_service_time() {
+    if (random_() % per_mille < behaviour_.straggle_per_mille)
+        return std::chrono::milliseconds{behaviour_.straggle_ms};
+    // Between half and one and a half of the mean.
+    const std::uint64_t mean = std::max<std::uint64_t>(1, behaviour_.service_us);
+    duration it{static_cast<duration::rep>(mean / 2 + random_() % mean)};
+    if (clock_.timers().now() < started_ + std::chrono::milliseconds{behaviour_.cold_ms})
+        it *= cold_factor;
+    return it;
+}
+
+void upstream_server::begin(const std::shared_ptr<work>& it) {
+    ++running_;
+    ++counts_.started;
+    it->running = true;
+    if (!it->key.empty())
+        ++counts_.orders[it->key];
+    it->end = clock_.timers().schedule_after(draw_service_time(), [this, it] { complete(*it); });
+}
+
+void upstream_server::complete(work& it) {
+    it.end.reset();
+    it.running = false;
+    --running_;
+    ++counts_.finished;
+    if (behaviour_.drop_after_run) {
+        const gobject_ptr<GIOStream> stream{soup_server_message_steal_connection(it.message)};
+        g_io_stream_close(stream.get(), nullptr, nullptr);
+    } else {
+        const std::string body = reply_body(it);
+        soup_server_message_set_status(it.message, SOUP_STATUS_OK, nullptr);
+        soup_server_message_set_response(it.message, "application/json", SOUP_MEMORY_COPY, body.data(),
+                                         body.size());
+        soup_server_message_unpause(it.message);
+    }
+    start_waiting();
+}
+
+std::string upstream_server::reply_body(const work& it) const {
+    const std::uint64_t version = behaviour_.wrong_version ? it.version + 1 : it.version;
+    json_writer out;
+    out.begin_object();
+    out.member("request_id", behaviour_.wrong_request ? "another" : it.request).member("shard", shard_);
+    out.member("index_version", version).member("in_flight", running_);
+    out.member("draining", behaviour_.draining).member("incarnation", incarnation_);
+    out.name("rows").begin_array();
+    for (std::uint32_t n = 0; n < behaviour_.rows; ++n) {
+        const std::string key = service_ + "-" + std::to_string(shard_) + "-" + std::to_string(n);
+        const auto score = static_cast<std::int64_t>(std::hash<std::string>{}(it.query + key) % 100000);
+        out.begin_object().member("score", score).member("key", key);
+        out.member("text", it.query + " v" + std::to_string(version)).end_object();
+    }
+    std::string body = out.end_array().end_object().take();
+    if (behaviour_.truncate)
+        body.resize(body.size() / 2);
+    return body;
+}
+
+void upstream_server::on_finished(SoupServerMessage*, gpointer data) {
+    const std::unique_ptr<std::shared_ptr<work>> share{static_cast<std::shared_ptr<work>*>(data)};
+    work& it = **share;
+    upstream_server* owner = it.owner;
+    it.gone = true;
+    if (owner == nullptr)
+        return;
+    if (it.running) {
+        ++owner->counts_.cancelled_running;
+        owner->clock_.timers().cancel(*it.end);
+        it.running = false;
+        if (owner->running_ > 0)
+            --owner->running_;
+        owner->start_waiting();
+        return;
+    }
+    const auto waiting = std::find(owner->waiting_.begin(), owner->waiting_.end(), *share);
+    if (waiting != owner->waiting_.end()) {
+        ++owner->counts_.cancelled_waiting;
+        owner->waiting_.erase(waiting);
+    }
+}
+
+} // namespace pollengrade
