--- a/packages/core/ini_document.h
+++ b/packages/core/ini_document.h
@@ -16,7 +16,7 @@
 
 namespace pollengrade {
 
-inline constexpr std::size_t max_settings_bytes = 64 * 1024; ///< longest settings text accepted
+inline constexpr std::size_t max_settings_bytes = std::size_t{64} * 1024; ///< longest settings text accepted
 
 /** What a key may hold. */
 enum class key_form : std::uint8_t { text, number, choice };
--- a/packages/core/shard_type.h
+++ b/packages/core/shard_type.h
@@ -15,11 +15,11 @@
 
 namespace pollengrade {
 
-inline constexpr std::size_t max_shards = 4096;             ///< most shards in a shard map
-inline constexpr std::size_t max_replicas = 16;             ///< most servers of one shard
-inline constexpr std::size_t max_reply_bytes = 1024 * 1024; ///< longest reply of one server
-inline constexpr std::size_t max_query_bytes = 4096;        ///< longest search text or order body
-inline constexpr std::size_t max_request_id_bytes = 64;     ///< longest request ID
+inline constexpr std::size_t max_shards = 4096;                          ///< most shards in a shard map
+inline constexpr std::size_t max_replicas = 16;                          ///< most servers of one shard
+inline constexpr std::size_t max_reply_bytes = std::size_t{1024} * 1024; ///< longest reply of one server
+inline constexpr std::size_t max_query_bytes = 4096;    ///< longest search text or order body
+inline constexpr std::size_t max_request_id_bytes = 64; ///< longest request ID
 
 /** One shard and the servers that hold it. */
 struct shard_entry {
--- a/packages/http/caller_server.cpp
+++ b/packages/http/caller_server.cpp
@@ -92,11 +92,11 @@
 
 /** One request between its arrival and the last byte of its answer. */
 struct caller_server::exchange {
-    caller_server* owner;       ///< the server
-    SoupServerMessage* message; ///< the exchange; valid until "finished"
-    std::optional<run_id> run;  ///< the request, once it runs
-    bool answered = false;      ///< whether the answer is set
-    bool finished = false;      ///< whether the exchange is over
+    caller_server* owner = nullptr;       ///< the server
+    SoupServerMessage* message = nullptr; ///< the exchange; valid until "finished"
+    std::optional<run_id> run;            ///< the request, once it runs
+    bool answered = false;                ///< whether the answer is set
+    bool finished = false;                ///< whether the exchange is over
 };
 
 caller_server::caller_server(loop_clock& clock, std::function<std::uint64_t()> random, caller_hooks hooks)
@@ -236,8 +236,7 @@
     it->message = message;
     ++open_;
     // The signal owns one share of the exchange, the answer's hook another.
-    auto* share =
-        new std::shared_ptr<exchange>{it}; // NOLINT(cppcoreguidelines-owning-memory): freed by the signal
+    auto* share = new std::shared_ptr<exchange>{it};
     g_signal_connect(message, "finished", G_CALLBACK(&caller_server::on_finished), share);
     soup_server_message_pause(message);
     it->run = hooks_.submit(std::move(request), [it](const answer& reply) {
--- a/packages/http/platform_client.cpp
+++ b/packages/http/platform_client.cpp
@@ -13,13 +13,13 @@
 
 namespace {
 
-constexpr duration call_limit = std::chrono::seconds{2};           ///< after this the reply counts as lost
-constexpr duration watch_wait = std::chrono::seconds{25};          ///< how long a watch waits for a change
-constexpr duration watch_limit = watch_wait + call_limit;          ///< after this a watch counts as lost
-constexpr guint too_many_requests_status = 429;                    ///< the platform limits the rate
-constexpr std::uint32_t max_connections = 16;                      ///< to the platform
-constexpr guint idle_connection_seconds = 60;                      ///< when an unused one is closed
-constexpr std::size_t max_platform_reply_bytes = 64 * 1024 * 1024; ///< longest list that is read
+constexpr duration call_limit = std::chrono::seconds{2};  ///< after this the reply counts as lost
+constexpr duration watch_wait = std::chrono::seconds{25}; ///< how long a watch waits for a change
+constexpr duration watch_limit = watch_wait + call_limit; ///< after this a watch counts as lost
+constexpr guint too_many_requests_status = 429;           ///< the platform limits the rate
+constexpr std::uint32_t max_connections = 16;             ///< to the platform
+constexpr guint idle_connection_seconds = 60;             ///< when an unused one is closed
+constexpr std::size_t max_platform_reply_bytes = std::size_t{64} * 1024 * 1024; ///< longest list that is read
 constexpr std::array<std::string_view, 3> kind_names{"service", "shardmap", "claim"};
 
 std::optional<platform_object> read_object(const json_view& it) {
@@ -93,7 +93,7 @@
 
 /** One call in flight. */
 struct platform_client::call {
-    platform_client* owner;           ///< the client
+    platform_client* owner = nullptr; ///< the client
     gobject_ptr<SoupMessage> message; ///< the request and its reply
     gobject_ptr<GCancellable> cancel; ///< ends the call
     timer_id limit;                   ///< cancels a call that takes too long
--- a/packages/http/upstream_client.cpp
+++ b/packages/http/upstream_client.cpp
@@ -17,11 +17,11 @@
 
 /** What a message's signal handlers need; freed with the message. */
 struct message_watch {
-    GCancellable* cancel;   ///< ends the exchange
-    bool started = false;   ///< whether the message was handed to a connection
-    bool oversized = false; ///< whether the reply is over the limit
-    bool is_order = false;  ///< whether a second sending must be prevented
-    bool finished = false;  ///< whether nothing more is to be cancelled
+    GCancellable* cancel = nullptr; ///< ends the exchange
+    bool started = false;           ///< whether the message was handed to a connection
+    bool oversized = false;         ///< whether the reply is over the limit
+    bool is_order = false;          ///< whether a second sending must be prevented
+    bool finished = false;          ///< whether nothing more is to be cancelled
 };
 
 /** Runs before the message is written to a connection, each time. */
@@ -80,7 +80,7 @@
 
 /** One exchange in flight. */
 struct upstream_client::exchange {
-    upstream_client* owner;           ///< the client
+    upstream_client* owner = nullptr; ///< the client
     attempt_id id;                    ///< the attempt
     gobject_ptr<SoupMessage> message; ///< the request and its reply
     gobject_ptr<GCancellable> cancel; ///< ends the exchange
@@ -134,12 +134,10 @@
     }
     soup_message_set_flags(message, static_cast<SoupMessageFlags>(flags));
 
-    it->watch =
-        new message_watch{it->cancel.get()}; // NOLINT(cppcoreguidelines-owning-memory): freed by the message
+    it->watch = new message_watch{it->cancel.get()};
     it->watch->is_order = is_order;
-    g_object_set_data_full(G_OBJECT(message), "watch", it->watch, [](gpointer watch) {
-        delete static_cast<message_watch*>(watch);
-    }); // NOLINT(cppcoreguidelines-owning-memory)
+    g_object_set_data_full(G_OBJECT(message), "watch", it->watch,
+                           [](gpointer watch) { delete static_cast<message_watch*>(watch); });
     g_signal_connect(message, "starting", G_CALLBACK(on_starting), it->watch);
     g_signal_connect(message, "got-headers", G_CALLBACK(on_got_headers), it->watch);
 
@@ -163,7 +161,7 @@
     const gbytes_ptr body{soup_session_send_and_read_finish(SOUP_SESSION(session), result, &error)};
     const gerror_ptr ec{error};
     if (it->owner == nullptr) {
-        delete it; // NOLINT(cppcoreguidelines-owning-memory): left here by the owner's end
+        delete it;
         return;
     }
     it->owner->finish(*it, body.get(), ec.get());
--- a/packages/runtime/loop_clock.cpp
+++ b/packages/runtime/loop_clock.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 /** A source that is dispatched at its ready time only. */
+// NOLINTNEXTLINE(cppcoreguidelines-avoid-non-const-global-variables): GLib takes it non-const
 GSourceFuncs ready_time_functions{nullptr,
                                   nullptr,
                                   [](GSource*, GSourceFunc callback, gpointer self) -> gboolean {
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -22,7 +22,8 @@
 
 namespace {
 
-constexpr std::size_t max_value_bytes = 1024 * 1024; ///< longest object, as of the platform itself
+constexpr std::size_t max_value_bytes =
+    std::size_t{1024} * 1024; ///< longest object, as of the platform itself
 
 /** How the stand-in treats the next calls. */
 enum class fault_mode : std::uint8_t {
@@ -315,5 +316,10 @@
 } // namespace pollengrade
 
 int main(int argc, char** argv) {
-    return pollengrade::run(argc, argv);
+    try {
+        return pollengrade::run(argc, argv);
+    } catch (const cxxopts::exceptions::exception& ec) {
+        std::fprintf(stderr, "%s\n", ec.what());
+        return EXIT_FAILURE;
+    }
 }
--- a/standins/standin_upstreams.cpp
+++ b/standins/standin_upstreams.cpp
@@ -228,5 +228,10 @@
 } // namespace pollengrade
 
 int main(int argc, char** argv) {
-    return pollengrade::run(argc, argv);
+    try {
+        return pollengrade::run(argc, argv);
+    } catch (const cxxopts::exceptions::exception& ec) {
+        std::fprintf(stderr, "%s\n", ec.what());
+        return EXIT_FAILURE;
+    }
 }
--- a/standins/upstream_server.cpp
+++ b/standins/upstream_server.cpp
@@ -194,8 +194,7 @@
     it->deadline =
         clock_.timers().now() + std::chrono::milliseconds{number(header(message, deadline_ms_header))};
     soup_server_message_pause(message);
-    auto* share =
-        new std::shared_ptr<work>{it}; // NOLINT(cppcoreguidelines-owning-memory): freed by the signal
+    auto* share = new std::shared_ptr<work>{it};
     g_signal_connect(message, "finished", G_CALLBACK(&upstream_server::on_finished), share);
     waiting_.push_back(std::move(it));
     start_waiting();
