--- a/packages/runtime/random_source.cpp
+++ b/packages/runtime/random_source.cpp
@@ -1,6 +1,7 @@
 /** @file random_source.cpp Random numbers by the standard library's engine. */
 #include "runtime/random_source.h"
 
+#include <memory>
 #include <random>
 
 namespace pollengrade {
@@ -8,11 +9,11 @@
 std::function<std::uint64_t()> system_random() {
     std::random_device device;
     std::seed_seq seed{device(), device(), device(), device()};
-    return [engine = std::mt19937_64{seed}]() mutable { return engine(); };
+    return [engine = std::make_shared<std::mt19937_64>(seed)] { return (*engine)(); };
 }
 
 std::function<std::uint64_t()> seeded_random(std::uint64_t seed) {
-    return [engine = std::mt19937_64{seed}]() mutable { return engine(); };
+    return [engine = std::make_shared<std::mt19937_64>(seed)] { return (*engine)(); };
 }
 
 } // namespace pollengrade
--- a/packages/runtime/random_source.h
+++ b/packages/runtime/random_source.h
@@ -1,4 +1,4 @@
-/** @file random_source.h Random numbers of a process. */
+/** @file random_source.h Random numbers of a process. Copies of a source share one sequence. */
 #pragma once
 
 #include <cstdint>
