Fix: stand-in servers keep connections and answer without waiting for acknowledgements

Cause: a connect and a close for each shard request (strace: 1,294 connects for 1,200 requests). The HTTP library keeps a connection it was handed only while its server listens itself; and a handed-over socket lacks TCP_NODELAY, so an answer's second write waited 40 ms for the client's delayed acknowledgement. Ruled out: the node's side (the platform's connections, taken by a listener, were reused by the same client). Change: the stand-in listens on an unused port beside, and sets TCP_NODELAY.

--- a/standins/upstream_server.cpp
+++ b/standins/upstream_server.cpp
@@ -6,6 +6,9 @@
 #include <optional>
 #include <utility>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include "core/id_type.h"
 #include "http/http_func.h"
 #include "http/json_view.h"
@@ -74,6 +77,8 @@
     started_ = clock_.timers().now();
     server_.reset(SOUP_SERVER(g_object_new(SOUP_TYPE_SERVER, nullptr)));
     soup_server_add_handler(server_.get(), nullptr, &upstream_server::on_request, this, nullptr);
+    // The library keeps a connection for a second request only while the server listens somewhere itself.
+    soup_server_listen_local(server_.get(), 0, SOUP_SERVER_LISTEN_IPV4_ONLY, nullptr);
     listener_.reset(g_socket_service_new());
     const auto where = to_socket_address(address_);
     if (g_socket_listener_add_address(G_SOCKET_LISTENER(listener_.get()), where.get(), G_SOCKET_TYPE_STREAM,
@@ -142,6 +147,7 @@
     const gobject_ptr<GSocketAddress> remote{g_socket_connection_get_remote_address(connection, nullptr)};
     if (!local || !remote)
         return;
+    g_socket_set_option(g_socket_connection_get_socket(connection), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
     epochs_[g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(remote.get()))] = epoch_;
     soup_server_accept_iostream(server_.get(), G_IO_STREAM(connection), local.get(), remote.get(), nullptr);
 }
