--- a/bench/bench_load.cpp
+++ b/bench/bench_load.cpp
@@ -20,6 +20,7 @@
 #include "http/json_view.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
+#include "runtime/main_loop.h"
 #include "runtime/random_source.h"
 
 namespace pollengrade {
@@ -249,13 +250,13 @@
         }
         return sum;
     };
+    main_loop loop;
     loop_clock clock;
-    const gmain_loop_ptr loop{g_main_loop_new(nullptr, FALSE)};
-    open_loop load{clock, settings, [&] { g_main_loop_quit(loop.get()); }};
+    open_loop load{clock, settings, [&] { loop.quit(); }};
     process_usage before = total();
     load.set_measure_hook([&] { before = total(); });
     load.start();
-    g_main_loop_run(loop.get());
+    loop.run();
     const process_usage after = total();
     print_result(load.result(), settings, after.cpu_seconds - before.cpu_seconds, after.resident_mb);
     return EXIT_SUCCESS;
