--- a/bench/bench_load.cpp
+++ b/bench/bench_load.cpp
@@ -20,7 +20,6 @@
 #include "http/json_view.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
-#include "runtime/main_loop.h"
 #include "runtime/random_source.h"
 
 namespace pollengrade {
@@ -250,13 +249,13 @@
         }
         return sum;
     };
-    main_loop loop;
     loop_clock clock;
-    open_loop load{clock, settings, [&] { loop.quit(); }};
+    const gmain_loop_ptr loop{g_main_loop_new(nullptr, FALSE)};
+    open_loop load{clock, settings, [&] { g_main_loop_quit(loop.get()); }};
     process_usage before = total();
     load.set_measure_hook([&] { before = total(); });
     load.start();
-    loop.run();
+    g_main_loop_run(loop.get());
     const process_usage after = total();
     print_result(load.result(), settings, after.cpu_seconds - before.cpu_seconds, after.resident_mb);
     return EXIT_SUCCESS;
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -6,12 +6,13 @@
 #include <string>
 
 #include <cxxopts.hpp>
+#include <glib-unix.h>
 
 #include "core/node_settings.h"
 #include "daemon/node.h"
+#include "runtime/glib_ptr.h"
 #include "runtime/logging.h"
 #include "runtime/loop_clock.h"
-#include "runtime/main_loop.h"
 #include "runtime/random_source.h"
 
 namespace pollengrade {
@@ -21,6 +22,18 @@
 constexpr int exit_usage = 2;  ///< wrong flags or settings
 constexpr int exit_listen = 3; ///< an address cannot be listened on
 
+/** What a termination signal needs. */
+struct termination {
+    node* daemon;
+    GMainLoop* loop;
+};
+
+gboolean on_termination(gpointer data) {
+    const auto* it = static_cast<const termination*>(data);
+    it->daemon->stop([loop = it->loop] { g_main_loop_quit(loop); });
+    return G_SOURCE_CONTINUE;
+}
+
 int run(int argc, char** argv) {
     cxxopts::Options options{"pollengraded", "A node of the pollengrade query tier."};
     options.add_options()("settings", "INI file with the node's settings (docs/operators/settings.md)",
@@ -52,15 +65,17 @@
         return exit_usage;
     }
 
-    main_loop loop;
     loop_clock clock;
+    const gmain_loop_ptr loop{g_main_loop_new(nullptr, FALSE)};
     node daemon{std::move(*settings), clock, system_random()};
     if (!daemon.start()) {
         log_line(subsystem::node, log_level::error, "cannot listen on one of the addresses in " + path);
         return exit_listen;
     }
-    loop.on_termination([&] { daemon.stop([&loop] { loop.quit(); }); });
-    loop.run();
+    termination on_signal{&daemon, loop.get()};
+    g_unix_signal_add(SIGTERM, &on_termination, &on_signal);
+    g_unix_signal_add(SIGINT, &on_termination, &on_signal);
+    g_main_loop_run(loop.get());
     return EXIT_SUCCESS;
 }
 
--- a/packages/runtime/glib_ptr.h
+++ b/packages/runtime/glib_ptr.h
@@ -24,6 +24,7 @@
 using gbytes_ptr = std::unique_ptr<GBytes, release_with<g_bytes_unref>>;
 using gchar_ptr = std::unique_ptr<gchar, release_with<g_free>>;
 using guri_ptr = std::unique_ptr<GUri, release_with<g_uri_unref>>;
+using gmain_loop_ptr = std::unique_ptr<GMainLoop, release_with<g_main_loop_unref>>;
 
 /** @return another reference of @p it. */
 template <typename T> gobject_ptr<T> add_reference(T* it) {
--- a/packages/runtime/loop_clock.cpp
+++ b/packages/runtime/loop_clock.cpp
@@ -28,7 +28,7 @@
 loop_clock::loop_clock()
     : timers_{monotonic_now()}, source_{g_source_new(&ready_time_functions, sizeof(GSource))} {
     g_source_set_callback(source_, &loop_clock::on_timeout, this, nullptr);
-    g_source_attach(source_, g_main_context_get_thread_default());
+    g_source_attach(source_, nullptr);
     timers_.set_rearm_hook([this] { rearm(); });
 }
 
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -17,7 +17,6 @@
 #include "http/json_view.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
-#include "runtime/main_loop.h"
 
 namespace pollengrade {
 
@@ -301,14 +300,14 @@
     options.add_options()("listen", "IPv4:port",
                           cxxopts::value<std::string>()->default_value("127.0.0.1:7000"));
     const auto flags = options.parse(argc, argv);
-    main_loop loop;
     loop_clock clock;
     standin_platform platform{clock};
     if (!platform.listen(flags["listen"].as<std::string>())) {
         std::fputs("standin_platform: cannot listen\n", stderr);
         return EXIT_FAILURE;
     }
-    loop.run();
+    const gmain_loop_ptr loop{g_main_loop_new(nullptr, FALSE)};
+    g_main_loop_run(loop.get());
     return EXIT_SUCCESS;
 }
 
--- a/standins/standin_upstreams.cpp
+++ b/standins/standin_upstreams.cpp
@@ -17,7 +17,6 @@
 #include "http/json_view.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
-#include "runtime/main_loop.h"
 #include "runtime/random_source.h"
 #include "upstream_server.h"
 
@@ -213,14 +212,14 @@
     behaviour.connect_ms = flags["connect-ms"].as<std::uint32_t>();
     behaviour.service_us = flags["service-us"].as<std::uint32_t>();
     behaviour.rows = flags["rows"].as<std::uint32_t>();
-    main_loop loop;
     loop_clock clock;
     standin_upstreams upstreams{clock, seeded_random(flags["seed"].as<std::uint64_t>())};
     if (!upstreams.listen(flags["control"].as<std::string>(), where, behaviour)) {
         std::cerr << "standin_upstreams: cannot listen\n";
         return EXIT_FAILURE;
     }
-    loop.run();
+    const gmain_loop_ptr loop{g_main_loop_new(nullptr, FALSE)};
+    g_main_loop_run(loop.get());
     return EXIT_SUCCESS;
 }
 
