Fix: an empty body is no JSON, and the loop's timer is set only when it changes

Cause: an empty reply reached the JSON library as a null pointer (Json-CRITICAL lines); each return to the loop set the timer's ready time, a system call, changed or not. Change: both are checked first.

--- a/packages/http/json_view.cpp
+++ b/packages/http/json_view.cpp
@@ -99,7 +99,7 @@
 }
 
 std::optional<json_document> json_document::parse(std::string_view text) {
-    if (!has_bounded_depth(text))
+    if (text.empty() || !has_bounded_depth(text))
         return std::nullopt;
     gobject_ptr<JsonParser> parser{json_parser_new()};
     const auto size = static_cast<gssize>(text.size());
--- a/packages/runtime/loop_clock.cpp
+++ b/packages/runtime/loop_clock.cpp
@@ -1,6 +1,8 @@
 /** @file loop_clock.cpp The GLib source behind the timer queue. */
 #include "runtime/loop_clock.h"
 
+#include <utility>
+
 namespace pollengrade {
 
 namespace {
@@ -39,7 +41,10 @@
 
 void loop_clock::rearm() {
     const auto next = timers_.next_deadline();
-    g_source_set_ready_time(source_, next ? next->time_since_epoch().count() : -1);
+    const gint64 wanted = next ? next->time_since_epoch().count() : -1;
+    // Setting it costs a system call, also when nothing changes.
+    if (std::exchange(armed_at_, wanted) != wanted)
+        g_source_set_ready_time(source_, wanted);
 }
 
 void loop_clock::sync() {
