--- a/packages/runtime/loop_clock.h
+++ b/packages/runtime/loop_clock.h
@@ -31,7 +31,7 @@
 
     timer_queue timers_;   ///< what the loop drives
     GSource* source_;      ///< wakes the loop at the earliest deadline
-    gint64 armed_at_ = -1;  ///< the ready time set on the source; -1 for never
+    gint64 armed_at_ = -1; ///< the ready time set on the source; -1 for never
     bool syncing_ = false; ///< whether sync() is on the call stack
 };
 
--- a/standins/standin_upstreams.cpp
+++ b/standins/standin_upstreams.cpp
@@ -24,7 +24,7 @@
 
 namespace {
 
-/** Where the servers are: 127.NET.SHARD.(1 + replica):port. */
+/** Where the servers are: 127.NET.SHARD.(1 + replica):port; each 250 shards take another NET. */
 struct layout {
     std::string service;
     std::uint32_t net = 0;
@@ -33,8 +33,10 @@
     std::uint32_t port = 0;
 
     [[nodiscard]] std::string address(std::uint32_t shard, std::uint32_t replica) const {
-        return "127." + std::to_string(net) + "." + std::to_string(shard) + "." +
-               std::to_string(replica + 1) + ":" + std::to_string(port);
+        constexpr std::uint32_t shards_per_net = 250; // The third octet ends at 255.
+        return "127." + std::to_string(net + shard / shards_per_net) + "." +
+               std::to_string(shard % shards_per_net) + "." + std::to_string(replica + 1) + ":" +
+               std::to_string(port);
     }
 
     [[nodiscard]] std::string shard_maps(const std::set<std::uint64_t>& versions) const {
--- /dev/null
+++ b/tests/core/gather_test.cpp
@@ -0,0 +1,279 @@
+/** @file gather_test.cpp One snapshot, true coverage, the right caller: under late, wrong and lost replies.
+ */
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+#include "runtime/random_source.h"
+#include "support/fake_claim_store.h"
+#include "support/fake_node.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr const char* desk_document = "[service]\nname = desk\n[hedge]\nmin_delay_ms = 20\n";
+constexpr const char* tail_document = "[service]\nname = desk\nprefer = tail\nmin_coverage_percent = "
+                                      "50\ntail_cut_ms = 100\n[hedge]\nenabled = no\n";
+constexpr const char* no_extra_document =
+    "[service]\nname = desk\n[extra_load]\npercent = 0\nburst = 0\n[hedge]\nmin_delay_ms = 20\n";
+
+/** A node with four shards of two servers, and its clock. */
+struct fixture {
+    explicit fixture(const char* document = desk_document, const std::vector<std::uint64_t>& versions = {7},
+                     std::uint64_t seed = 1)
+        : node{timers, store.hooks(), seed} {
+        node.configure(document, versions, 4, 2);
+    }
+
+    void pass(std::int64_t milliseconds) {
+        timers.advance_to(timers.now() + std::chrono::milliseconds{milliseconds});
+    }
+
+    /** Answers what is open, of all shards but one. */
+    void reply_all_but(std::uint32_t shard) {
+        for (const sent_request& it : node.open_requests()) {
+            if (it.request.shard != shard_id{shard})
+                node.reply(it);
+        }
+    }
+
+    timer_queue timers = paused_clock();
+    fake_claim_store store{timers, [] { return call_fate::answered; }};
+    fake_node node;
+};
+
+/** @return whether all rows of @p it come from its version. */
+bool is_one_snapshot(const answer& it) {
+    const std::string wanted = "v" + std::to_string(it.version.value());
+    return std::all_of(it.rows.begin(), it.rows.end(),
+                       [&](const result_row& row) { return row.text == wanted; });
+}
+
+/** @return whether the shards covered are just the shards whose rows are there. */
+bool is_true_coverage(const answer& it, std::size_t shards) {
+    std::set<std::string> rows;
+    for (const result_row& row : it.rows)
+        rows.insert(row.key);
+    std::set<std::string> included;
+    for (const shard_id shard : it.included)
+        included.insert("row-" + std::to_string(shard.value()));
+    return rows == included && it.included.size() + it.missing.size() == shards;
+}
+
+} // namespace
+
+TEST_CASE("a whole answer comes as soon as the last shard is in") {
+    fixture it;
+    it.node.search();
+    it.reply_all_but(2);
+    CHECK(it.node.answers().empty());
+    it.node.reply(it.node.open_requests(2).front());
+    REQUIRE(it.node.answers().size() == 1);
+    CHECK(it.node.answers()[0].result == outcome::answered);
+    CHECK(is_true_coverage(it.node.answers()[0], 4));
+}
+
+TEST_CASE("a reply of another version or another request is never merged") {
+    fixture it;
+    it.node.search();
+    it.reply_all_but(2);
+    it.node.reply(it.node.open_requests(2).front(),
+                  [](shard_reply& reply) { reply.version = index_version{8}; });
+    it.node.reply(it.node.open_requests(2).front(),
+                  [](shard_reply& reply) { reply.request = request_id{"another"}; });
+    REQUIRE(it.node.answers().size() == 1);
+    CHECK(it.node.answers()[0].result == outcome::partial);
+    CHECK(it.node.answers()[0].missing.size() == 1);
+    CHECK(is_one_snapshot(it.node.answers()[0]));
+    CHECK(it.node.counts().value("replies_rejected", "wrong_version") == 1);
+    CHECK(it.node.counts().value("replies_rejected", "wrong_request") == 1);
+}
+
+TEST_CASE("a hedge goes to another server, and the loser is withdrawn") {
+    fixture it;
+    it.node.search();
+    it.reply_all_but(2);
+    it.pass(25);
+    const auto open = it.node.open_requests(2);
+    REQUIRE(open.size() == 2);
+    CHECK(open[0].request.to != open[1].request.to);
+    it.node.reply(open[1]);
+    CHECK(it.node.open_requests().empty());
+    REQUIRE(it.node.answers().size() == 1);
+    CHECK(it.node.answers()[0].result == outcome::answered);
+}
+
+TEST_CASE("no hedge is sent beyond the budget of the document") {
+    fixture it{no_extra_document};
+    it.node.search();
+    it.reply_all_but(2);
+    it.pass(100);
+    CHECK(it.node.open_requests(2).size() == 1);
+    CHECK(it.node.counts().value("hedges_over_budget") == 1);
+}
+
+TEST_CASE("a refusal before running is retried elsewhere without a budget") {
+    fixture it{no_extra_document};
+    it.node.search();
+    it.reply_all_but(2);
+    it.node.fail(it.node.open_requests(2).front(), attempt_error::shed);
+    REQUIRE(it.node.open_requests(2).size() == 1);
+    it.node.reply(it.node.open_requests(2).front());
+    REQUIRE(it.node.answers().size() == 1);
+    CHECK(it.node.answers()[0].result == outcome::answered);
+}
+
+TEST_CASE("a search refused by every server before running is refused, at once and truly") {
+    fixture it;
+    it.node.search();
+    while (!it.node.open_requests().empty())
+        it.node.fail(it.node.open_requests().front(), attempt_error::shed);
+    REQUIRE(it.node.answers().size() == 1);
+    CHECK(it.node.answers()[0].result == outcome::refused);
+    CHECK(it.node.answers()[0].scope == refusal_scope::request);
+    CHECK(it.node.answers()[0].retry_after.count() > 0);
+}
+
+TEST_CASE("a search that a server may have run is never called refused") {
+    fixture it{no_extra_document};
+    it.node.search();
+    it.node.fail(it.node.open_requests(0).front(), attempt_error::connection_lost);
+    while (!it.node.open_requests().empty())
+        it.node.fail(it.node.open_requests().front(), attempt_error::shed);
+    REQUIRE(it.node.answers().size() == 1);
+    CHECK(it.node.answers()[0].result == outcome::partial);
+    CHECK(it.node.answers()[0].included.empty());
+}
+
+TEST_CASE("a version retired mid-query is planned anew, once, and never mixed") {
+    fixture it{desk_document, {6, 7}};
+    it.node.search();
+    it.reply_all_but(2);
+    it.node.fail(it.node.open_requests(2).front(), attempt_error::version_absent);
+    it.node.fail(it.node.open_requests(2).front(), attempt_error::version_absent);
+    REQUIRE(it.node.answers().empty());
+    const auto open = it.node.open_requests();
+    REQUIRE(open.size() == 4);
+    for (const sent_request& request : open) {
+        CHECK(request.request.version == index_version{6});
+        it.node.reply(request);
+    }
+    REQUIRE(it.node.answers().size() == 1);
+    CHECK(it.node.answers()[0].version == index_version{6});
+    CHECK(it.node.answers()[0].result == outcome::answered);
+    CHECK(is_one_snapshot(it.node.answers()[0]));
+    CHECK(it.node.answers()[0].rows.size() == 4);
+}
+
+TEST_CASE("shards repartitioned mid-query do not change a query under way") {
+    fixture it;
+    it.node.search();
+    std::vector<shard_map> maps{{index_version{8}, {{shard_id{0}, {upstream_address{"127.9.9.1:9000"}}}}}};
+    it.node.router().apply_snapshots(service_name{"desk"}, std::move(maps), object_version{2});
+    it.reply_all_but(99);
+    REQUIRE(it.node.answers().size() == 1);
+    CHECK(it.node.answers()[0].version == index_version{7});
+    CHECK(it.node.answers()[0].included.size() == 4);
+}
+
+TEST_CASE("a shard that stays silent is missing at the deadline, with its reason") {
+    fixture it{no_extra_document};
+    it.node.search(std::chrono::milliseconds{200});
+    it.reply_all_but(2);
+    it.pass(190);
+    CHECK(it.node.answers().empty());
+    it.pass(10);
+    REQUIRE(it.node.answers().size() == 1);
+    CHECK(it.node.answers()[0].result == outcome::partial);
+    REQUIRE(it.node.answers()[0].missing.size() == 1);
+    CHECK(it.node.answers()[0].missing[0].shard == shard_id{2});
+    CHECK(it.node.answers()[0].missing[0].reason == missing_reason::deadline);
+    CHECK(it.node.open_requests().empty());
+}
+
+TEST_CASE("with tail preference an answer with enough shards stops at the tail cut") {
+    fixture it{tail_document};
+    it.node.search();
+    it.reply_all_but(2);
+    it.pass(99);
+    CHECK(it.node.answers().empty());
+    it.pass(1);
+    REQUIRE(it.node.answers().size() == 1);
+    CHECK(it.node.answers()[0].missing[0].reason == missing_reason::tail_cut);
+}
+
+TEST_CASE("a caller that is gone leaves nothing at the servers") {
+    fixture it;
+    it.node.search();
+    REQUIRE(it.node.open_requests().size() == 4);
+    it.node.router().abandon(run_id{1});
+    CHECK(it.node.open_requests().empty());
+    it.pass(1);
+    CHECK(it.node.router().running() == 0);
+    CHECK(it.node.answers().empty());
+}
+
+TEST_CASE("a graceful stop refuses new requests and lets running ones end") {
+    fixture it;
+    bool stopped = false;
+    it.node.search();
+    it.node.router().stop([&] { stopped = true; });
+    it.node.search();
+    REQUIRE(it.node.answers().size() == 1);
+    CHECK(it.node.answers()[0].reason == refusal_reason::stopping);
+    it.pass(1);
+    CHECK_FALSE(stopped);
+    it.reply_all_but(99);
+    it.pass(1);
+    REQUIRE(it.node.answers().size() == 2);
+    CHECK(it.node.answers()[1].result == outcome::answered);
+    CHECK(stopped);
+}
+
+TEST_CASE("any mix of faults leaves one answer for each search: one snapshot, true coverage, in time") {
+    constexpr std::uint64_t runs = 300;
+    for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+        CAPTURE(seed);
+        fixture it{desk_document, {6, 7}, seed};
+        const auto random = seeded_random(seed);
+        constexpr std::size_t searches = 3;
+        for (std::size_t n = 0; n < searches; ++n)
+            it.node.search(std::chrono::milliseconds{200});
+        for (int step = 0; step < 60; ++step) {
+            const auto open = it.node.open_requests();
+            if (!open.empty() && random() % 3 != 0) {
+                const sent_request& request = open[random() % open.size()];
+                switch (random() % 6) {
+                case 0:
+                    it.node.fail(request, static_cast<attempt_error>(random() % attempt_error_count));
+                    break;
+                case 1:
+                    it.node.reply(request, [](shard_reply& reply) { reply.version = index_version{6}; });
+                    break;
+                case 2:
+                    it.node.reply(request, [](shard_reply& reply) { reply.request = request_id{"r2"}; });
+                    break;
+                default:
+                    it.node.reply(request);
+                    break;
+                }
+            }
+            it.pass(static_cast<std::int64_t>(random() % 8));
+        }
+        it.pass(200);
+        REQUIRE(it.node.answers().size() == searches);
+        for (const answer& reply : it.node.answers()) {
+            CHECK(is_one_snapshot(reply));
+            if (reply.result != outcome::refused)
+                CHECK(is_true_coverage(reply, 4));
+            CHECK((reply.result == outcome::answered) == (reply.included.size() == 4));
+        }
+        CHECK(it.node.open_requests().empty());
+        CHECK(it.node.router().servers().live_attempts() == 0);
+    }
+}
+
+} // namespace pollengrade
--- a/tests/core/order_run_test.cpp
+++ b/tests/core/order_run_test.cpp
@@ -1,8 +1,13 @@
 /** @file order_run_test.cpp Orders run at most once. */
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
+#include "runtime/random_source.h"
 #include "support/fake_claim_store.h"
 #include "support/fake_node.h"
 
@@ -13,7 +18,7 @@
 constexpr const char* order_document = "[service]\nname = desk\norders = allowed\n";
 constexpr duration long_deadline = std::chrono::seconds{1};
 
-/** Moves the clock in small steps, so that every callback runs at its own time. */
+/** Moves the clock; every callback due in between runs at its own time. */
 void pass(timer_queue& timers, duration span) {
     timers.advance_to(timers.now() + span);
 }
@@ -39,4 +44,222 @@
     CHECK(node.answers()[1].rows == node.answers()[0].rows);
 }
 
+TEST_CASE("an order whose claim cannot be written is refused, and says that only the attempt was not run") {
+    timer_queue timers = paused_clock();
+    fake_claim_store store{timers, [] { return call_fate::refused; }};
+    fake_node node{timers, store.hooks(), 1};
+    node.configure(order_document, {1}, 4, 2);
+    node.order(fresh_key, 3, long_deadline);
+    pass(timers, long_deadline);
+    REQUIRE(node.answers().size() == 1);
+    CHECK(node.answers()[0].result == outcome::refused);
+    CHECK(node.answers()[0].reason == refusal_reason::platform_down);
+    CHECK(node.answers()[0].scope == refusal_scope::attempt);
+    CHECK(node.open_requests().empty());
+}
+
+TEST_CASE("a lost reply to the claim is settled by reading it back, and the order runs") {
+    timer_queue timers = paused_clock();
+    int calls = 0;
+    fake_claim_store store{timers,
+                           [&] { return calls++ == 0 ? call_fate::reply_lost : call_fate::answered; }};
+    fake_node node{timers, store.hooks(), 1};
+    node.configure(order_document, {1}, 4, 2);
+    node.order(fresh_key, 3, long_deadline);
+    pass(timers, std::chrono::milliseconds{100});
+    REQUIRE(node.open_requests().size() == 1);
+    node.reply(node.open_requests().front());
+    REQUIRE(node.answers().size() == 1);
+    CHECK(node.answers()[0].result == outcome::answered);
+}
+
+TEST_CASE("an order whose server ends the connection is unknown, at once and for every replay") {
+    timer_queue timers = paused_clock();
+    fake_claim_store store{timers, [] { return call_fate::answered; }};
+    fake_node node{timers, store.hooks(), 1};
+    node.configure(order_document, {1}, 4, 2);
+    node.order(fresh_key, 3, long_deadline);
+    pass(timers, std::chrono::milliseconds{10});
+    node.fail(node.open_requests().front(), attempt_error::connection_lost);
+    REQUIRE(node.answers().size() == 1);
+    CHECK(node.answers()[0].result == outcome::unknown);
+    pass(timers, std::chrono::milliseconds{10});
+    node.order(fresh_key, 3, long_deadline);
+    pass(timers, std::chrono::milliseconds{10});
+    REQUIRE(node.answers().size() == 2);
+    CHECK(node.answers()[1].result == outcome::unknown);
+    CHECK(node.open_requests().empty());
+}
+
+TEST_CASE("an order refused by every server is refused, and its key can be used again") {
+    timer_queue timers = paused_clock();
+    fake_claim_store store{timers, [] { return call_fate::answered; }};
+    fake_node node{timers, store.hooks(), 1};
+    node.configure(order_document, {1}, 4, 2);
+    node.order(fresh_key, 3, long_deadline);
+    pass(timers, std::chrono::milliseconds{10});
+    node.fail(node.open_requests().front(), attempt_error::shed);
+    node.fail(node.open_requests().front(), attempt_error::shed);
+    REQUIRE(node.answers().size() == 1);
+    CHECK(node.answers()[0].result == outcome::refused);
+    CHECK(node.answers()[0].scope == refusal_scope::request);
+    pass(timers, std::chrono::milliseconds{50});
+    node.order(fresh_key, 3, long_deadline);
+    pass(timers, std::chrono::milliseconds{50});
+    REQUIRE(node.open_requests().size() == 1);
+    node.reply(node.open_requests().front());
+    CHECK(node.answers()[1].result == outcome::answered);
+}
+
+TEST_CASE("a key used for another order, an old key and a wrong key are errors, and nothing is sent") {
+    timer_queue timers = paused_clock();
+    fake_claim_store store{timers, [] { return call_fate::answered; }};
+    fake_node node{timers, store.hooks(), 1};
+    node.configure(order_document, {1}, 4, 2);
+    node.order(fresh_key, 3, long_deadline);
+    pass(timers, std::chrono::milliseconds{10});
+    node.reply(node.open_requests().front());
+    node.order(fresh_key, 4, long_deadline);
+    node.order("018ffa00-0000-7abc-8def-000000000001", 3, long_deadline);
+    node.order("01900000-0000-4abc-8def-000000000001", 3, long_deadline);
+    pass(timers, std::chrono::milliseconds{10});
+    REQUIRE(node.answers().size() == 4);
+    std::set<refusal_reason> reasons;
+    for (const answer& it : node.answers())
+        reasons.insert(it.reason);
+    CHECK(reasons == std::set{refusal_reason::none, refusal_reason::key_reused, refusal_reason::key_expired,
+                              refusal_reason::key_malformed});
+    CHECK(node.open_requests().empty());
+}
+
+namespace {
+
+/** Several nodes, one key, one store with faults, servers that count what they run. */
+class order_world {
+public:
+    explicit order_world(std::uint64_t seed)
+        : random_{seeded_random(seed)}, store_{timers_, [this] { return draw_fate(); }} {
+        for (std::uint64_t n = 0; n < node_count; ++n) {
+            alive_.push_back(std::make_shared<bool>(true));
+            nodes_.push_back(
+                std::make_unique<fake_node>(timers_, mortal(store_.hooks(), alive_.back()), seed * 16 + n));
+            nodes_.back()->configure(order_document, {1}, 2, 2);
+            fake_node* node = nodes_.back().get();
+            node->set_send_hook([this, node, alive = alive_.back()](const sent_request& it) {
+                if (*alive)
+                    serve(*node, it, alive);
+            });
+        }
+    }
+
+    void run() {
+        for (int step = 0; step < 12; ++step) {
+            const std::size_t n = random_() % node_count;
+            if (*alive_[n])
+                nodes_[n]->order(fresh_key, 3, std::chrono::milliseconds{50 + random_() % 400});
+            if (random_() % 10 == 0)
+                *alive_[random_() % node_count] = false;
+            pass(timers_, std::chrono::milliseconds{random_() % 120});
+            check();
+        }
+        pass(timers_, std::chrono::seconds{120});
+        check();
+    }
+
+    [[nodiscard]] bool has_run() const { return runs_ > 0; }
+
+private:
+    static constexpr std::size_t node_count = 3;
+
+    call_fate draw_fate() {
+        constexpr std::uint64_t good_share = 3; // Three calls of five are answered.
+        if (random_() % 5 < good_share)
+            return call_fate::answered;
+        return static_cast<call_fate>(random_() % static_cast<std::uint64_t>(call_fate::count));
+    }
+
+    /** Hooks that a killed node neither uses nor hears from. */
+    static claim_store_hooks mortal(claim_store_hooks inner, const std::shared_ptr<bool>& alive) {
+        claim_store_hooks it;
+        it.read = [inner, alive](const claim_name& name, const store_done& done) {
+            if (*alive)
+                inner.read(name, [alive, done](const store_result& result) {
+                    if (*alive)
+                        done(result);
+                });
+        };
+        it.write = [inner, alive](const claim_name& name, const claim& value, object_version expected,
+                                  const store_done& done) {
+            if (*alive)
+                inner.write(name, value, expected, [alive, done](const store_result& result) {
+                    if (*alive)
+                        done(result);
+                });
+        };
+        return it;
+    }
+
+    /** What a server makes of an order that has reached it. */
+    void serve(fake_node& node, const sent_request& it, const std::shared_ptr<bool>& alive) {
+        const auto chance = random_() % 6;
+        const bool refuses = chance == 0;
+        const bool answers = chance > 2;
+        if (!refuses) {
+            ++runs_;
+            ran_.insert(it.request.request);
+        }
+        if (chance == 1)
+            return; // Runs, and stays silent.
+        timers_.schedule_after(std::chrono::milliseconds{random_() % 60}, [&node, it, alive, refuses,
+                                                                           answers] {
+            const auto open = node.open_requests();
+            const bool is_open = std::any_of(open.begin(), open.end(),
+                                             [&](const sent_request& other) { return other.id == it.id; });
+            if (!*alive || !is_open)
+                return;
+            if (refuses)
+                node.fail(it, attempt_error::shed);
+            else if (answers)
+                node.reply(it);
+            else
+                node.fail(it, attempt_error::connection_lost);
+        });
+    }
+
+    void check() {
+        CHECK(runs_ <= 1);
+        for (const auto& node : nodes_) {
+            for (const answer& it : node->answers()) {
+                if (it.result == outcome::answered)
+                    CHECK(runs_ == 1);
+                if (it.result == outcome::refused)
+                    CHECK_FALSE(ran_.contains(it.id));
+            }
+        }
+    }
+
+    timer_queue timers_ = paused_clock();
+    std::function<std::uint64_t()> random_;
+    fake_claim_store store_;
+    std::vector<std::shared_ptr<bool>> alive_;
+    std::vector<std::unique_ptr<fake_node>> nodes_;
+    std::uint64_t runs_ = 0;   ///< how often servers have run the order
+    std::set<request_id> ran_; ///< the requests that made them
+};
+
+} // namespace
+
+TEST_CASE("one key on three nodes runs at most once: lost replies, pauses, kills, caller retries") {
+    constexpr std::uint64_t worlds = 2000;
+    std::uint64_t ran = 0;
+    for (std::uint64_t seed = 1; seed <= worlds; ++seed) {
+        CAPTURE(seed);
+        order_world world{seed};
+        world.run();
+        ran += world.has_run() ? 1 : 0;
+    }
+    // Most worlds must get the order through, or the check above says nothing.
+    CHECK(ran > worlds / 2);
+}
+
 } // namespace pollengrade
--- a/tests/support/fake_claim_store.cpp
+++ b/tests/support/fake_claim_store.cpp
@@ -9,6 +9,7 @@
 
 constexpr duration call_time = std::chrono::milliseconds{2};    ///< from a call to its reply
 constexpr duration call_limit = std::chrono::milliseconds{60};  ///< when a caller gives up
+constexpr duration long_pause = std::chrono::milliseconds{400}; ///< of a caller that is stopped
 constexpr duration late_effect = std::chrono::milliseconds{90}; ///< when a delayed call takes effect
 
 } // namespace
@@ -31,8 +32,10 @@
 claim_store_hooks fake_claim_store::hooks() {
     claim_store_hooks it;
     it.read = [this](const claim_name& name, store_done done) {
-        switch (fate_()) {
+        const call_fate fate = fate_();
+        switch (fate) {
         case call_fate::answered:
+        case call_fate::slow:
         case call_fate::delayed: {
             const auto found = claims_.find(name);
             finish(found == claims_.end() ? store_result{tl::unexpected{store_error::absent}} : found->second,
@@ -44,6 +47,7 @@
             break;
         case call_fate::reply_lost:
         case call_fate::call_lost:
+        case call_fate::count:
             finish(tl::unexpected{store_error::reply_lost}, done, call_limit);
             break;
         }
@@ -53,11 +57,15 @@
         case call_fate::answered:
             finish(apply_write(name, value, expected), done, call_time);
             break;
+        case call_fate::slow:
+            finish(apply_write(name, value, expected), done, long_pause);
+            break;
         case call_fate::reply_lost:
             static_cast<void>(apply_write(name, value, expected));
             finish(tl::unexpected{store_error::reply_lost}, done, call_limit);
             break;
         case call_fate::call_lost:
+        case call_fate::count:
             finish(tl::unexpected{store_error::reply_lost}, done, call_limit);
             break;
         case call_fate::delayed:
--- a/tests/support/fake_claim_store.h
+++ b/tests/support/fake_claim_store.h
@@ -15,8 +15,10 @@
     answered,   ///< takes effect, and the reply arrives
     reply_lost, ///< takes effect, and the reply is lost
     call_lost,  ///< has no effect, and the caller cannot tell
+    slow,       ///< takes effect, and the reply arrives after a long pause of the caller
     delayed,    ///< the caller gives up; the call takes effect later
     refused,    ///< has no effect, and the caller knows
+    count,      ///< number of the values above
 };
 
 /** A linearizable store of claims. */
--- a/tests/support/fake_node.cpp
+++ b/tests/support/fake_node.cpp
@@ -9,7 +9,7 @@
 namespace pollengrade {
 
 fake_node::fake_node(timer_queue& timers, claim_store_hooks claims, std::uint64_t seed)
-    : timers_{timers}, log_{[] { return paused_wall_time; }},
+    : timers_{timers}, seed_{seed}, log_{[] { return paused_wall_time; }},
       router_{{timers_,
                log_,
                counts_,
@@ -60,8 +60,8 @@
     query.number = number;
     query.text = "{}";
     query.idempotency_key = key;
-    caller_request request{request_id{"o" + std::to_string(next_request_++)}, service_name{"desk"},
-                           std::make_shared<const shard_query>(query), deadline};
+    caller_request request{request_id{"o" + std::to_string(seed_) + "-" + std::to_string(next_request_++)},
+                           service_name{"desk"}, std::make_shared<const shard_query>(query), deadline};
     router_.submit(std::move(request), [this](answer it) { answers_.push_back(std::move(it)); });
 }
 
--- a/tests/support/fake_node.h
+++ b/tests/support/fake_node.h
@@ -52,6 +52,7 @@
 
 private:
     timer_queue& timers_;                              ///< the clock
+    std::uint64_t seed_;                               ///< tells the request IDs of nodes apart
     event_log log_;                                    ///< the time line
     metrics counts_;                                   ///< the counters
     std::map<attempt_id, sent_request> sent_;          ///< at servers
