--- /dev/null
+++ b/packages/core/config_spread.cpp
@@ -0,0 +1,82 @@
+/** @file config_spread.cpp Push on news, pull on difference. */
+#include "core/config_spread.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr std::size_t push_fanout = 4;  ///< nodes that each news is pushed on to
+constexpr std::size_t pull_sources = 3; ///< peers asked by a node that starts without the platform
+
+} // namespace
+
+config_spread::config_spread(config_store& store, metrics& counts, spread_hooks hooks)
+    : store_{store}, counts_{counts}, hooks_{std::move(hooks)} {}
+
+void config_spread::take(const std::vector<config_entry>& entries) {
+    std::vector<config_entry> news;
+    for (const config_entry& it : entries) {
+        const offer_result result = store_.offer(it);
+        if (result == offer_result::rejected)
+            ++counts_.counter("config_rejected");
+        if (result != offer_result::stale)
+            news.push_back(it);
+    }
+    if (news.empty())
+        return;
+    for (const node_address& it : hooks_.draw(push_fanout)) {
+        ++counts_.counter("config_pushes_sent");
+        hooks_.push(it, news);
+    }
+}
+
+void config_spread::on_greeting(const greeting& from) {
+    if (from.config_digest != store_.digest() || (from.config_complete && !complete_))
+        pull(from.sender.address);
+}
+
+void config_spread::pull_from_peers() {
+    for (const node_address& it : hooks_.draw(pull_sources))
+        pull(it);
+}
+
+void config_spread::pull(const node_address& from) {
+    if (std::exchange(pulling_, true))
+        return;
+    ++counts_.counter("config_pulls_sent");
+    hooks_.pull(from, known(), [this](const std::optional<pull_reply>& reply) {
+        pulling_ = false;
+        if (!reply)
+            return;
+        take(reply->entries);
+        if (reply->complete && !std::exchange(complete_, true))
+            hooks_.completed();
+    });
+}
+
+pull_reply config_spread::answer_pull(const std::vector<config_version>& known) const {
+    std::map<config_key, object_version> versions;
+    for (const config_version& it : known)
+        versions[it.key] = it.version;
+    pull_reply reply;
+    reply.complete = complete_;
+    for (const auto& [key, entry] : store_.entries()) {
+        const auto it = versions.find(key);
+        if (it == versions.end() || it->second < entry.version)
+            reply.entries.push_back(entry);
+    }
+    return reply;
+}
+
+std::vector<config_version> config_spread::known() const {
+    std::vector<config_version> list;
+    for (const auto& [key, entry] : store_.entries())
+        list.push_back({key, entry.version});
+    return list;
+}
+
+} // namespace pollengrade
--- a/packages/core/event_log.h
+++ b/packages/core/event_log.h
@@ -35,6 +35,8 @@
     shard_map_in_force,
     platform_unreachable,
     platform_reachable,
+    member_joined,
+    member_left,
     count, ///< number of the values above
 };
 
--- /dev/null
+++ b/packages/core/membership.cpp
@@ -0,0 +1,250 @@
+/** @file membership.cpp Probes, suspicion and the spread of news. */
+#include "core/membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <memory>
+#include <utility>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr duration probe_period = std::chrono::seconds{1};          ///< between two probes by a node
+constexpr duration suspicion_time = std::chrono::seconds{4};        ///< to refute, before a node is given up on
+constexpr duration forget_time = std::chrono::seconds{60};          ///< a dead node's word is kept this long
+constexpr duration rejoin_period = std::chrono::seconds{5};         ///< between two asks of a seed while alone
+constexpr duration touch_time = std::chrono::seconds{10};           ///< silence after which a node counts as cut off
+constexpr std::size_t indirect_probes = 3;                          ///< nodes asked to probe for this one
+constexpr std::size_t leave_notices = 4;                            ///< nodes told first of a graceful stop
+constexpr std::uint32_t spread_factor = 3;                          ///< times log2(nodes) that news is sent
+
+bool is_live(member_state it) {
+    return it == member_state::alive || it == member_state::suspect;
+}
+
+} // namespace
+
+membership::membership(timer_queue& timers, event_log& log, metrics& counts, std::function<std::uint64_t()> random,
+                       member self, std::vector<node_address> seeds, membership_hooks hooks)
+    : timers_{timers}, log_{log}, counts_{counts}, random_{std::move(random)}, self_{std::move(self)},
+      seeds_{std::move(seeds)}, hooks_{std::move(hooks)}, last_heard_{timers.now()} {}
+
+void membership::start() {
+    spread(self_);
+    join();
+    const auto jitter = static_cast<duration::rep>(random_() % static_cast<std::uint64_t>(probe_period.count()));
+    timers_.schedule_after(duration{jitter}, [this] { probe_next(); });
+}
+
+void membership::join() {
+    if (!seeds_.empty() && live().size() <= 1) {
+        const node_address seed = seeds_[random_() % seeds_.size()];
+        hooks_.list(seed, [this](const std::optional<std::vector<member>>& list) {
+            if (!list)
+                return;
+            for (const member& it : *list)
+                take(it);
+        });
+    }
+    timers_.schedule_after(rejoin_period, [this] { join(); });
+}
+
+std::vector<member> membership::all() const {
+    std::vector<member> list{self_};
+    for (const auto& [address, it] : others_)
+        list.push_back(it);
+    return list;
+}
+
+std::vector<node_address> membership::live() const {
+    std::vector<node_address> list{self_.address};
+    for (const auto& [address, it] : others_) {
+        if (is_live(it.state))
+            list.push_back(address);
+    }
+    return list;
+}
+
+std::vector<node_address> membership::live(const failure_domain& domain) const {
+    std::vector<node_address> list;
+    if (self_.domain == domain)
+        list.push_back(self_.address);
+    for (const auto& [address, it] : others_) {
+        if (is_live(it.state) && it.domain == domain)
+            list.push_back(address);
+    }
+    return list;
+}
+
+std::vector<node_address> membership::draw(std::size_t count) const {
+    std::vector<node_address> pool = live();
+    pool.erase(pool.begin()); // This node.
+    for (std::size_t n = 0; n < pool.size() && n < count; ++n)
+        std::swap(pool[n], pool[n + random_() % (pool.size() - n)]);
+    pool.resize(std::min(count, pool.size()));
+    return pool;
+}
+
+bool membership::is_in_touch() const {
+    return others_.empty() || timers_.now() - last_heard_ < touch_time;
+}
+
+std::uint32_t membership::spread_count() const {
+    return spread_factor * static_cast<std::uint32_t>(std::bit_width(others_.size() + 1));
+}
+
+void membership::spread(const member& word) {
+    news_[word.address] = spread_count();
+}
+
+void membership::take(const member& word) {
+    if (word.address == self_.address) {
+        // Word of this node by others: an older process is no concern, a suspicion is refuted.
+        const bool is_this_life = word.life.start == self_.life.start;
+        if (is_this_life && word.state != member_state::alive && word.life >= self_.life &&
+            self_.state == member_state::alive) {
+            self_.life.refutations = word.life.refutations + 1;
+            ++counts_.counter("suspicions_refuted");
+            spread(self_);
+        }
+        return;
+    }
+    const auto it = others_.find(word.address);
+    if (it != others_.end() && !is_later(word, it->second))
+        return;
+    if (it == others_.end() && (word.state == member_state::dead || others_.size() >= max_members))
+        return;
+    const bool was_live = it != others_.end() && is_live(it->second.state);
+    const bool is_new_life = it == others_.end() || it->second.life.start != word.life.start;
+    others_[word.address] = word;
+    spread(word);
+    if (was_live == is_live(word.state) && !is_new_life)
+        return;
+    log_.record(is_live(word.state) ? event_kind::member_joined : event_kind::member_left, {}, word.name,
+                static_cast<std::int64_t>(word.state));
+    if (word.state == member_state::dead || word.state == member_state::leaving) {
+        timers_.schedule_after(forget_time, [this, address = word.address, life = word.life] {
+            const auto known = others_.find(address);
+            if (known != others_.end() && known->second.life == life && !is_live(known->second.state))
+                others_.erase(known);
+        });
+    }
+    hooks_.changed();
+}
+
+greeting membership::make_greeting() {
+    greeting it;
+    it.sender = self_;
+    std::vector<std::pair<std::uint32_t, node_address>> fresh;
+    for (const auto& [address, left] : news_)
+        fresh.emplace_back(left, address);
+    const std::size_t kept = std::min(max_updates_per_greeting, fresh.size());
+    std::partial_sort(fresh.begin(), fresh.begin() + static_cast<std::ptrdiff_t>(kept), fresh.end(),
+                      std::greater<>{});
+    for (std::size_t n = 0; n < kept; ++n) {
+        const node_address& address = fresh[n].second;
+        if (const auto known = others_.find(address); known != others_.end())
+            it.updates.push_back(known->second);
+        if (--news_[address] == 0)
+            news_.erase(address);
+    }
+    hooks_.add_config(it);
+    return it;
+}
+
+void membership::heard(const greeting& from) {
+    last_heard_ = timers_.now();
+    take(from.sender);
+    for (const member& it : from.updates)
+        take(it);
+    hooks_.greeted_by(from);
+}
+
+greeting membership::on_probe(const greeting& from) {
+    heard(from);
+    greeting reply = make_greeting();
+    // A sender that is given up on here must learn so, however long ago the news was spread.
+    const auto known = others_.find(from.sender.address);
+    if (known != others_.end() && known->second.state != member_state::alive)
+        reply.updates.push_back(known->second);
+    return reply;
+}
+
+void membership::probe_next() {
+    timers_.schedule_after(probe_period, [this] { probe_next(); });
+    if (round_.empty())
+        round_ = draw(max_members);
+    while (!round_.empty()) {
+        const node_address target = round_.back();
+        round_.pop_back();
+        const auto it = others_.find(target);
+        if (it == others_.end() || !is_live(it->second.state))
+            continue;
+        probe(target);
+        return;
+    }
+}
+
+void membership::probe(const node_address& target) {
+    ++counts_.counter("probes_sent");
+    greeting word = make_greeting();
+    // A suspect must hear of it from whoever probes it, or it could not refute.
+    const auto it = others_.find(target);
+    if (it != others_.end() && it->second.state == member_state::suspect)
+        word.updates.push_back(it->second);
+    hooks_.probe(target, word, [this, target](const std::optional<greeting>& reply) {
+        if (reply)
+            heard(*reply);
+        else
+            probe_through_others(target);
+    });
+}
+
+void membership::probe_through_others(const node_address& target) {
+    std::vector<node_address> helpers = draw(indirect_probes + 1);
+    std::erase(helpers, target);
+    if (helpers.size() > indirect_probes)
+        helpers.pop_back();
+    if (helpers.empty()) {
+        suspect(target);
+        return;
+    }
+    const auto left = std::make_shared<std::size_t>(helpers.size());
+    const auto any = std::make_shared<bool>(false);
+    for (const node_address& it : helpers) {
+        ++counts_.counter("indirect_probes_sent");
+        hooks_.probe_through(it, target, [this, target, left, any](bool reached) {
+            *any = *any || reached;
+            if (--*left == 0 && !*any)
+                suspect(target);
+        });
+    }
+}
+
+void membership::suspect(const node_address& target) {
+    const auto it = others_.find(target);
+    if (it == others_.end() || it->second.state != member_state::alive)
+        return;
+    member word = it->second;
+    word.state = member_state::suspect;
+    take(word);
+    timers_.schedule_after(suspicion_time, [this, target, life = word.life] { give_up(target, life); });
+}
+
+void membership::give_up(const node_address& target, incarnation life) {
+    const auto it = others_.find(target);
+    if (it == others_.end() || it->second.life != life || it->second.state != member_state::suspect)
+        return;
+    member word = it->second;
+    word.state = member_state::dead;
+    take(word);
+}
+
+void membership::leave() {
+    self_.state = member_state::leaving;
+    for (const node_address& it : draw(leave_notices))
+        hooks_.probe(it, make_greeting(), [](const std::optional<greeting>&) {});
+}
+
+} // namespace pollengrade
