Add: nodes act together: membership, spread of configuration, relays, over Cap'n Proto RPC

Cause: each node watched the platform and counted each server's connections for itself alone. Change: SWIM-like membership on core/membership, configuration pushed on news and pulled on differing digests, two relays a failure domain by rendezvous hashing, an event port and a stream that run KJ on the GLib loop, one connection a call. A node that starts while the platform is down takes its configuration from peers.

--- a/packages/core/config_spread.h
+++ b/packages/core/config_spread.h
@@ -30,14 +30,15 @@
     using pulled = std::function<void(std::optional<pull_reply>)>;
 
     std::function<std::vector<node_address>(std::size_t)> draw; ///< other live nodes, at random
-    std::function<void(const node_address&, const std::vector<config_entry>&)> push;           ///< best effort
-    std::function<void(const node_address&, const std::vector<config_version>&, pulled)> pull; ///< asks for news
+    std::function<void(const node_address&, const std::vector<config_entry>&)> push; ///< best effort
+    std::function<void(const node_address&, const std::vector<config_version>&, pulled)>
+        pull;                        ///< asks for news
     std::function<void()> completed; ///< all configuration has been received from a peer
 };
 
 /**
- * New versions are pushed on at once to a few nodes, each of which does the same; what a push missed is pulled
- * when a probe shows that two nodes' digests differ. Modelled in models/config.pml.
+ * New versions are pushed on at once to a few nodes, each of which does the same; what a push missed is
+ * pulled when a probe shows that two nodes' digests differ. Modelled in models/config.pml.
  */
 class config_spread {
 public:
@@ -60,11 +61,11 @@
 private:
     void pull(const node_address& from);
 
-    config_store& store_;    ///< configuration known
-    metrics& counts_;        ///< the counters
-    spread_hooks hooks_;     ///< the network
-    bool complete_ = false;  ///< whether all configuration is held
-    bool pulling_ = false;   ///< one pull at a time
+    config_store& store_;   ///< configuration known
+    metrics& counts_;       ///< the counters
+    spread_hooks hooks_;    ///< the network
+    bool complete_ = false; ///< whether all configuration is held
+    bool pulling_ = false;  ///< one pull at a time
 };
 
 } // namespace pollengrade
--- a/packages/core/event_log.cpp
+++ b/packages/core/event_log.cpp
@@ -13,7 +13,8 @@
     "query_planned",      "query_replanned",      "shard_hedged",       "shard_retried",
     "order_claimed",      "order_sent",           "order_recorded",     "order_released",
     "upstream_draining",  "upstream_unreachable", "upstream_reachable", "document_in_force",
-    "shard_map_in_force", "platform_unreachable", "platform_reachable", "member_joined", "member_left"};
+    "shard_map_in_force", "platform_unreachable", "platform_reachable", "member_joined",
+    "member_left"};
 
 } // namespace
 
--- a/packages/core/member_type.h
+++ b/packages/core/member_type.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -12,8 +13,8 @@
 
 namespace pollengrade {
 
-inline constexpr std::size_t max_members = 4096;             ///< most nodes known
-inline constexpr std::size_t max_updates_per_greeting = 8;   ///< bounds the size of a probe
+inline constexpr std::size_t max_members = 4096;           ///< most nodes known
+inline constexpr std::size_t max_updates_per_greeting = 8; ///< bounds the size of a probe
 
 /** What is held of a node; a higher value of one incarnation replaces a lower one. */
 enum class member_state : std::uint8_t {
@@ -23,9 +24,12 @@
     dead,    ///< given up on; may still refute by a higher incarnation
 };
 
+/** @return the name used in JSON. */
+[[nodiscard]] std::string_view to_string(member_state it);
+
 /**
- * Tells a node's word of itself from older word. A restarted process has a later start and so is a new member;
- * a process that refutes a suspicion raises its refutations.
+ * Tells a node's word of itself from older word. A restarted process has a later start and so is a new
+ * member; a process that refutes a suspicion raises its refutations.
  */
 struct incarnation {
     std::uint64_t start = 0;       ///< milliseconds since the epoch at the process's start
@@ -51,10 +55,10 @@
 
 /** What two nodes tell each other in a probe and its reply: constant in size. */
 struct greeting {
-    member sender;                    ///< who speaks
-    std::vector<member> updates;      ///< news about others, at most max_updates_per_greeting
-    std::uint64_t config_digest = 0;  ///< of the sender's configuration
-    bool config_complete = false;     ///< whether the sender holds all configuration
+    member sender;                   ///< who speaks
+    std::vector<member> updates;     ///< news about others, at most max_updates_per_greeting
+    std::uint64_t config_digest = 0; ///< of the sender's configuration
+    bool config_complete = false;    ///< whether the sender holds all configuration
 };
 
 } // namespace pollengrade
--- a/packages/core/membership.cpp
+++ b/packages/core/membership.cpp
@@ -2,6 +2,7 @@
 #include "core/membership.h"
 
 #include <algorithm>
+#include <array>
 #include <bit>
 #include <memory>
 #include <utility>
@@ -10,14 +11,14 @@
 
 namespace {
 
-constexpr duration probe_period = std::chrono::seconds{1};          ///< between two probes by a node
-constexpr duration suspicion_time = std::chrono::seconds{4};        ///< to refute, before a node is given up on
-constexpr duration forget_time = std::chrono::seconds{60};          ///< a dead node's word is kept this long
-constexpr duration rejoin_period = std::chrono::seconds{5};         ///< between two asks of a seed while alone
-constexpr duration touch_time = std::chrono::seconds{10};           ///< silence after which a node counts as cut off
-constexpr std::size_t indirect_probes = 3;                          ///< nodes asked to probe for this one
-constexpr std::size_t leave_notices = 4;                            ///< nodes told first of a graceful stop
-constexpr std::uint32_t spread_factor = 3;                          ///< times log2(nodes) that news is sent
+constexpr duration probe_period = std::chrono::seconds{1};   ///< between two probes by a node
+constexpr duration suspicion_time = std::chrono::seconds{4}; ///< to refute, before a node is given up on
+constexpr duration forget_time = std::chrono::seconds{60};   ///< a dead node's word is kept this long
+constexpr duration rejoin_period = std::chrono::seconds{5};  ///< between two asks of a seed while alone
+constexpr duration touch_time = std::chrono::seconds{10};    ///< silence after which a node counts as cut off
+constexpr std::size_t indirect_probes = 3;                   ///< nodes asked to probe for this one
+constexpr std::size_t leave_notices = 4;                     ///< nodes told first of a graceful stop
+constexpr std::uint32_t spread_factor = 3;                   ///< times log2(nodes) that news is sent
 
 bool is_live(member_state it) {
     return it == member_state::alive || it == member_state::suspect;
@@ -25,15 +26,22 @@
 
 } // namespace
 
-membership::membership(timer_queue& timers, event_log& log, metrics& counts, std::function<std::uint64_t()> random,
-                       member self, std::vector<node_address> seeds, membership_hooks hooks)
+std::string_view to_string(member_state it) {
+    constexpr std::array<std::string_view, 4> names{"alive", "suspect", "leaving", "dead"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
+membership::membership(timer_queue& timers, event_log& log, metrics& counts,
+                       std::function<std::uint64_t()> random, member self, std::vector<node_address> seeds,
+                       membership_hooks hooks)
     : timers_{timers}, log_{log}, counts_{counts}, random_{std::move(random)}, self_{std::move(self)},
       seeds_{std::move(seeds)}, hooks_{std::move(hooks)}, last_heard_{timers.now()} {}
 
 void membership::start() {
     spread(self_);
     join();
-    const auto jitter = static_cast<duration::rep>(random_() % static_cast<std::uint64_t>(probe_period.count()));
+    const auto jitter =
+        static_cast<duration::rep>(random_() % static_cast<std::uint64_t>(probe_period.count()));
     timers_.schedule_after(duration{jitter}, [this] { probe_next(); });
 }
 
--- a/packages/core/membership.h
+++ b/packages/core/membership.h
@@ -22,12 +22,12 @@
     using reached = std::function<void(bool)>;
     using listed = std::function<void(std::optional<std::vector<member>>)>;
 
-    std::function<void(const node_address&, const greeting&, greeted)> probe;              ///< asks a node
-    std::function<void(const node_address&, const node_address&, reached)> probe_through;  ///< via, target
-    std::function<void(const node_address&, listed)> list;        ///< reads a node's whole list
-    std::function<void(greeting&)> add_config;                    ///< fills in the configuration's part
-    std::function<void(const greeting&)> greeted_by;              ///< sees every greeting taken
-    std::function<void()> changed;                                ///< the nodes alive have changed
+    std::function<void(const node_address&, const greeting&, greeted)> probe;             ///< asks a node
+    std::function<void(const node_address&, const node_address&, reached)> probe_through; ///< via, target
+    std::function<void(const node_address&, listed)> list; ///< reads a node's whole list
+    std::function<void(greeting&)> add_config;             ///< fills in the configuration's part
+    std::function<void(const greeting&)> greeted_by;       ///< sees every greeting taken
+    std::function<void()> changed;                         ///< the nodes alive have changed
 };
 
 /**
@@ -85,17 +85,17 @@
     void spread(const member& word);
     [[nodiscard]] std::uint32_t spread_count() const;
 
-    timer_queue& timers_;                                  ///< the clock
-    event_log& log_;                                       ///< the time line
-    metrics& counts_;                                      ///< the counters
-    std::function<std::uint64_t()> random_;                ///< random numbers
-    member self_;                                          ///< this node
-    std::vector<node_address> seeds_;                      ///< nodes to ask first
-    membership_hooks hooks_;                               ///< the network
-    std::map<node_address, member> others_;                ///< all other nodes
-    std::map<node_address, std::uint32_t> news_;           ///< nodes whose word is still spread, and how often
-    std::vector<node_address> round_;                      ///< nodes still to be probed in this round
-    time_point last_heard_;                                ///< when another node was last heard of
+    timer_queue& timers_;                        ///< the clock
+    event_log& log_;                             ///< the time line
+    metrics& counts_;                            ///< the counters
+    std::function<std::uint64_t()> random_;      ///< random numbers
+    member self_;                                ///< this node
+    std::vector<node_address> seeds_;            ///< nodes to ask first
+    membership_hooks hooks_;                     ///< the network
+    std::map<node_address, member> others_;      ///< all other nodes
+    std::map<node_address, std::uint32_t> news_; ///< nodes whose word is still spread, and how often
+    std::vector<node_address> round_;            ///< nodes still to be probed in this round
+    time_point last_heard_;                      ///< when another node was last heard of
 };
 
 } // namespace pollengrade
--- /dev/null
+++ b/packages/daemon/cluster.cpp
@@ -0,0 +1,124 @@
+/** @file cluster.cpp How membership, spread and relays are joined. */
+#include "daemon/cluster.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/rendezvous_func.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr std::size_t relays_per_domain = 2; ///< nodes that watch the platform in a failure domain
+constexpr duration peer_ask_period = std::chrono::milliseconds{500}; ///< while configuration is not complete
+
+member self_of(const node_settings& settings) {
+    member it;
+    it.address = settings.peers;
+    it.operators = settings.operators;
+    it.name = settings.name;
+    it.domain = settings.domain;
+    it.life.start = static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
+    return it;
+}
+
+} // namespace
+
+cluster::cluster(const node_settings& settings, loop_clock& clock, event_log& log, metrics& counts,
+                 platform_client& platform, config_store& store, std::function<std::uint64_t()> random,
+                 cluster_hooks hooks)
+    : clock_{clock}, hooks_{std::move(hooks)}, store_{store}, client_{clock, log},
+      membership_{clock.timers(),         log, counts, random, self_of(settings), settings.seeds,
+                  make_membership_hooks()},
+      spread_{store, counts, make_spread_hooks()}, feed_{clock.timers(),
+                                                         platform,
+                                                         random,
+                                                         {[this](const std::vector<config_entry>& entries) {
+                                                              spread_.take(entries);
+                                                          },
+                                                          [this] {
+                                                              spread_.set_complete();
+                                                              hooks_.completed();
+                                                          },
+                                                          [this] { return is_relay(); }}},
+      server_{clock, log, make_peer_hooks()}, address_{settings.peers} {}
+
+membership_hooks cluster::make_membership_hooks() {
+    membership_hooks it;
+    it.probe = [this](const node_address& to, const greeting& word, const membership_hooks::greeted& done) {
+        client_.probe(to, word, done);
+    };
+    it.probe_through = [this](const node_address& via, const node_address& target,
+                              const membership_hooks::reached& done) {
+        client_.probe_through(via, target, done);
+    };
+    it.list = [this](const node_address& from, const membership_hooks::listed& done) {
+        client_.list(from, done);
+    };
+    it.add_config = [this](greeting& word) {
+        word.config_digest = store_.digest();
+        word.config_complete = spread_.is_complete();
+    };
+    it.greeted_by = [this](const greeting& from) { spread_.on_greeting(from); };
+    it.changed = [this] { on_changed(); };
+    return it;
+}
+
+spread_hooks cluster::make_spread_hooks() {
+    spread_hooks it;
+    it.draw = [this](std::size_t count) { return membership_.draw(count); };
+    it.push = [this](const node_address& to, const std::vector<config_entry>& entries) {
+        client_.push(to, entries);
+    };
+    it.pull = [this](const node_address& from, const std::vector<config_version>& known,
+                     const spread_hooks::pulled& done) { client_.pull(from, known, done); };
+    it.completed = [this] { hooks_.completed(); };
+    return it;
+}
+
+peer_hooks cluster::make_peer_hooks() {
+    peer_hooks it;
+    it.on_probe = [this](const greeting& from) { return membership_.on_probe(from); };
+    it.probe_for = [this](const node_address& target, const membership_hooks::reached& done) {
+        greeting word;
+        word.sender = membership_.self();
+        word.config_digest = store_.digest();
+        client_.probe(target, word,
+                      [done](const std::optional<greeting>& reply) { done(reply.has_value()); });
+    };
+    it.members = [this] { return membership_.all(); };
+    it.on_push = [this](const std::vector<config_entry>& entries) { spread_.take(entries); };
+    it.on_pull = [this](const std::vector<config_version>& known) { return spread_.answer_pull(known); };
+    return it;
+}
+
+tl::expected<void, listen_error> cluster::start() {
+    if (const auto started = server_.listen(address_); !started)
+        return started;
+    membership_.start();
+    feed_.start();
+    seek_peers_configuration();
+    return {};
+}
+
+void cluster::seek_peers_configuration() {
+    if (spread_.is_complete())
+        return;
+    spread_.pull_from_peers();
+    clock_.timers().schedule_after(peer_ask_period, [this] { seek_peers_configuration(); });
+}
+
+bool cluster::is_relay() const {
+    const auto& self = membership_.self();
+    const auto candidates = membership_.live(self.domain);
+    const auto relays = pick_by_rendezvous("relay " + self.domain.value(), candidates, relays_per_domain);
+    return std::find(relays.begin(), relays.end(), self.address) != relays.end();
+}
+
+void cluster::on_changed() {
+    hooks_.live_changed(static_cast<std::uint32_t>(membership_.live().size()));
+    feed_.on_duty_changed();
+}
+
+} // namespace pollengrade
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -39,16 +39,15 @@
                platform_.claim_hooks(),
                holder_count{1}}},
       store_{[this](const config_entry& entry) { return apply(entry); }},
-      feed_{clock_.timers(),
-            counts_,
-            platform_,
-            store_,
-            random_,
-            [this] {
-                if (!router_.is_ready() && !leaving_)
-                    log_line(subsystem::node, log_level::info, "ready");
-                router_.set_ready();
-            }},
+      cluster_{settings_,
+               clock_,
+               log_,
+               counts_,
+               platform_,
+               store_,
+               random_,
+               {[this] { on_configured(); },
+                [this](std::uint32_t live) { router_.set_holders(holder_count{live}); }}},
       callers_{clock_,
                random_,
                {[this](caller_request request, answer_hook respond) {
@@ -67,11 +66,18 @@
         return started;
     if (const auto started = callers_.listen(settings_.callers); !started)
         return started;
-    feed_.start();
+    if (const auto started = cluster_.start(); !started)
+        return started;
     poll_vms();
     return {};
 }
 
+void node::on_configured() {
+    if (!router_.is_ready() && !leaving_)
+        log_line(subsystem::node, log_level::info, "ready");
+    router_.set_ready();
+}
+
 bool node::apply(const config_entry& entry) {
     const std::string what = entry.key.name + " version " + std::to_string(entry.version.value());
     switch (entry.key.kind) {
@@ -128,6 +134,7 @@
         return;
     stopped_ = std::move(done);
     log_line(subsystem::node, log_level::info, "stopping: not ready any more, still serving");
+    cluster_.leave();
     clock_.timers().schedule_after(balancer_notice, [this] {
         router_.stop([this] {
             callers_.set_idle_hook([this] { end_when_idle(); });
@@ -151,7 +158,13 @@
     out.member("ready", is_ready())
         .member("leaving", leaving_)
         .member("running", std::uint64_t{router_.running()});
-    out.name("services").begin_array();
+    out.member("relay", cluster_.is_relay()).name("nodes").begin_array();
+    for (const member& it : cluster_.nodes().all()) {
+        out.begin_object().member("name", it.name).member("address", it.address.value());
+        out.member("operators", it.operators.value()).member("failure_domain", it.domain.value());
+        out.member("state", to_string(it.state)).end_object();
+    }
+    out.end_array().name("services").begin_array();
     for (const auto& [name, it] : router_.services()) {
         out.begin_object().member("name", name.value()).member("document_version", it.version().value());
         out.member("shard_maps_version", it.snapshots_version().value()).name("index_versions").begin_array();
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -12,7 +12,7 @@
 #include "core/metrics.h"
 #include "core/node_settings.h"
 #include "core/query_router.h"
-#include "daemon/config_feed.h"
+#include "daemon/cluster.h"
 #include "http/caller_server.h"
 #include "http/operator_server.h"
 #include "http/platform_client.h"
@@ -38,6 +38,7 @@
 
 private:
     bool apply(const config_entry& entry);
+    void on_configured();
     void poll_vms();
     void end_when_idle();
     [[nodiscard]] std::string status() const;
@@ -52,7 +53,7 @@
     upstream_client upstreams_;             ///< the network towards servers
     query_router router_;                   ///< services and running requests
     config_store store_;                    ///< configuration known
-    config_feed feed_;                      ///< configuration from the platform
+    cluster cluster_;                       ///< the other nodes
     caller_server callers_;                 ///< the front door
     operator_server operators_;             ///< metrics, status, time line
     bool leaving_ = false;                  ///< whether stop() has been called
--- /dev/null
+++ b/packages/peer/peer_client.h
@@ -0,0 +1,48 @@
+/** @file peer_client.h Calls to other nodes. */
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <kj/async.h>
+
+#include "core/config_spread.h"
+#include "core/event_log.h"
+#include "core/membership.h"
+#include "peer/peer.capnp.h"
+#include "runtime/loop_clock.h"
+
+namespace pollengrade {
+
+/**
+ * Calls other nodes over Cap'n Proto RPC. Each call takes a connection of its own, so that a connection gone
+ * silent can cost one call only; each ends in one call of its hook, in bounded time.
+ */
+class peer_client : private kj::TaskSet::ErrorHandler {
+public:
+    /** @param clock the process's clock. @param log the time line, whose clock travels with probes */
+    peer_client(loop_clock& clock, event_log& log);
+
+    void probe(const node_address& to, const greeting& word, const membership_hooks::greeted& done);
+    void probe_through(const node_address& via, const node_address& target,
+                       const membership_hooks::reached& done);
+    void list(const node_address& from, const membership_hooks::listed& done);
+    void push(const node_address& to, const std::vector<config_entry>& entries);
+    void pull(const node_address& from, const std::vector<config_version>& known,
+              const spread_hooks::pulled& done);
+
+private:
+    template <typename Result>
+    void call(const node_address& to, duration limit,
+              std::function<kj::Promise<std::optional<Result>>(wire::Peer::Client&)> ask,
+              std::function<void(std::optional<Result>)> done);
+    void taskFailed(kj::Exception&& failure) override;
+
+    loop_clock& clock_; ///< the process's clock
+    event_log& log_;    ///< the time line
+    kj::TaskSet tasks_; ///< calls in flight
+};
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/peer/peer_codec.cpp
@@ -0,0 +1,111 @@
+/** @file peer_codec.cpp Checks of what peers send. */
+#include "peer/peer_codec.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+
+#include "core/shard_func.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr std::size_t max_name_bytes = 63;             ///< as in the settings
+constexpr std::size_t max_object_bytes = 1024 * 1024U; ///< as in the platform
+
+std::string to_string_copy(capnp::Text::Reader it) {
+    return std::string{it.cStr(), it.size()};
+}
+
+} // namespace
+
+void write_member(const member& it, wire::Member::Builder out) {
+    out.setAddress(it.address.value());
+    out.setOperators(it.operators.value());
+    out.setName(it.name);
+    out.setFailureDomain(it.domain.value());
+    out.setStart(it.life.start);
+    out.setRefutations(it.life.refutations);
+    out.setState(static_cast<std::uint8_t>(it.state));
+}
+
+std::optional<member> read_member(wire::Member::Reader in) {
+    member it;
+    it.address = node_address{to_string_copy(in.getAddress())};
+    it.operators = node_address{to_string_copy(in.getOperators())};
+    it.name = to_string_copy(in.getName());
+    it.domain = failure_domain{to_string_copy(in.getFailureDomain())};
+    it.life = {in.getStart(), in.getRefutations()};
+    it.state = static_cast<member_state>(in.getState());
+    const bool is_valid = is_address(it.address.value()) && is_address(it.operators.value()) &&
+                          it.name.size() <= max_name_bytes && it.domain.value().size() <= max_name_bytes &&
+                          in.getState() <= static_cast<std::uint8_t>(member_state::dead);
+    return is_valid ? std::optional{it} : std::nullopt;
+}
+
+void write_greeting(const greeting& it, event_stamp stamp, wire::Greeting::Builder out) {
+    write_member(it.sender, out.initSender());
+    auto updates = out.initUpdates(static_cast<unsigned>(it.updates.size()));
+    for (unsigned n = 0; n < updates.size(); ++n)
+        write_member(it.updates[n], updates[n]);
+    out.setConfigDigest(it.config_digest);
+    out.setConfigComplete(it.config_complete);
+    out.setStampWallMs(stamp.wall_ms);
+    out.setStampCounter(stamp.counter);
+}
+
+std::optional<greeting> read_greeting(wire::Greeting::Reader in) {
+    const auto sender = read_member(in.getSender());
+    if (!sender || in.getUpdates().size() > max_wire_members)
+        return std::nullopt;
+    greeting it;
+    it.sender = *sender;
+    it.updates = read_members(in.getUpdates());
+    it.config_digest = in.getConfigDigest();
+    it.config_complete = in.getConfigComplete();
+    return it;
+}
+
+event_stamp read_stamp(wire::Greeting::Reader in) {
+    return {in.getStampWallMs(), in.getStampCounter()};
+}
+
+void write_entry(const config_entry& it, wire::ConfigEntry::Builder out) {
+    out.setKind(static_cast<std::uint8_t>(it.key.kind));
+    out.setName(it.key.name);
+    out.setVersion(it.version.value());
+    const auto* bytes =
+        reinterpret_cast<const kj::byte*>(it.text.data()); // NOLINT(*-reinterpret-cast): KJ's bytes
+    out.setText(kj::arrayPtr(bytes, it.text.size()));
+}
+
+void write_version(const config_version& it, wire::ConfigEntry::Builder out) {
+    write_entry({it.key, it.version, {}}, out);
+}
+
+std::vector<config_entry> read_entries(capnp::List<wire::ConfigEntry>::Reader in) {
+    std::vector<config_entry> list;
+    for (unsigned n = 0; n < std::min(in.size(), max_wire_entries); ++n) {
+        const auto it = in[n];
+        const auto text = it.getText();
+        if (it.getKind() > static_cast<std::uint8_t>(config_kind::shard_maps) ||
+            text.size() > max_object_bytes || it.getName().size() > max_name_bytes)
+            continue;
+        list.push_back({{static_cast<config_kind>(it.getKind()), to_string_copy(it.getName())},
+                        object_version{it.getVersion()},
+                        std::string{text.begin(), text.end()}});
+    }
+    return list;
+}
+
+std::vector<member> read_members(capnp::List<wire::Member>::Reader in) {
+    std::vector<member> list;
+    for (unsigned n = 0; n < std::min(in.size(), max_wire_members); ++n) {
+        if (const auto it = read_member(in[n]))
+            list.push_back(*it);
+    }
+    return list;
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/peer/peer_codec.h
@@ -0,0 +1,33 @@
+/** @file peer_codec.h Between the wire forms of peer.capnp and the core's types. */
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "core/config_spread.h"
+#include "core/event_log.h"
+#include "core/member_type.h"
+#include "peer/peer.capnp.h"
+
+namespace pollengrade {
+
+inline constexpr unsigned max_wire_members = 4096; ///< most members read of one message
+inline constexpr unsigned max_wire_entries = 8192; ///< most configuration objects read of one message
+
+void write_member(const member& it, wire::Member::Builder out);
+/** @return the member; nullopt when a field is not what it must be. */
+[[nodiscard]] std::optional<member> read_member(wire::Member::Reader in);
+
+void write_greeting(const greeting& it, event_stamp stamp, wire::Greeting::Builder out);
+[[nodiscard]] std::optional<greeting> read_greeting(wire::Greeting::Reader in);
+/** @return the sender's clock. */
+[[nodiscard]] event_stamp read_stamp(wire::Greeting::Reader in);
+
+void write_entry(const config_entry& it, wire::ConfigEntry::Builder out);
+void write_version(const config_version& it, wire::ConfigEntry::Builder out);
+/** @return the objects; those that are not what they must be are left out. */
+[[nodiscard]] std::vector<config_entry> read_entries(capnp::List<wire::ConfigEntry>::Reader in);
+/** @return the members; those that are not what they must be are left out. */
+[[nodiscard]] std::vector<member> read_members(capnp::List<wire::Member>::Reader in);
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/peer/peer_server.cpp
@@ -0,0 +1,104 @@
+/** @file peer_server.cpp The Peer interface over the core's decisions. */
+#include "peer/peer_server.h"
+
+#include <utility>
+
+#include <glib-unix.h>
+#include <kj/debug.h>
+
+#include "core/shard_func.h"
+#include "peer/peer_codec.h"
+
+namespace pollengrade {
+
+namespace {
+
+/** The interface that peers call. */
+class peer_interface final : public wire::Peer::Server {
+public:
+    peer_interface(loop_clock& clock, event_log& log, peer_hooks hooks)
+        : clock_{clock}, log_{log}, hooks_{std::move(hooks)} {}
+
+    kj::Promise<void> probe(ProbeContext context) override {
+        clock_.sync();
+        const auto word = read_greeting(context.getParams().getGreeting());
+        if (!word)
+            return KJ_EXCEPTION(FAILED, "greeting is malformed");
+        log_.observe(read_stamp(context.getParams().getGreeting()));
+        write_greeting(hooks_.on_probe(*word), log_.stamp(), context.getResults().initGreeting());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> probeThrough(ProbeThroughContext context) override {
+        clock_.sync();
+        const node_address target{context.getParams().getTarget().cStr()};
+        if (!is_address(target.value()))
+            return KJ_EXCEPTION(FAILED, "target is malformed");
+        auto [promise, fulfiller] = kj::newPromiseAndFulfiller<bool>();
+        // A std::function must be copyable, a fulfiller is not.
+        const auto shared = std::make_shared<kj::Own<kj::PromiseFulfiller<bool>>>(kj::mv(fulfiller));
+        hooks_.probe_for(target, [shared](bool reached) { (*shared)->fulfill(kj::mv(reached)); });
+        return promise.then([context](bool reached) mutable { context.getResults().setReached(reached); });
+    }
+
+    kj::Promise<void> members(MembersContext context) override {
+        clock_.sync();
+        const auto list = hooks_.members();
+        auto out = context.getResults().initMembers(static_cast<unsigned>(list.size()));
+        for (unsigned n = 0; n < out.size(); ++n)
+            write_member(list[n], out[n]);
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> push(PushContext context) override {
+        clock_.sync();
+        hooks_.on_push(read_entries(context.getParams().getEntries()));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> pull(PullContext context) override {
+        clock_.sync();
+        std::vector<config_version> known;
+        for (const config_entry& it : read_entries(context.getParams().getKnown()))
+            known.push_back({it.key, it.version});
+        const pull_reply reply = hooks_.on_pull(known);
+        auto out = context.getResults().initEntries(static_cast<unsigned>(reply.entries.size()));
+        for (unsigned n = 0; n < out.size(); ++n)
+            write_entry(reply.entries[n], out[n]);
+        context.getResults().setComplete(reply.complete);
+        return kj::READY_NOW;
+    }
+
+private:
+    loop_clock& clock_; ///< the process's clock
+    event_log& log_;    ///< the time line
+    peer_hooks hooks_;  ///< the node
+};
+
+} // namespace
+
+peer_server::peer_server(loop_clock& clock, event_log& log, peer_hooks hooks)
+    : server_{kj::heap<peer_interface>(clock, log, std::move(hooks))} {}
+
+peer_server::~peer_server() {
+    if (watch_ != 0)
+        g_source_remove(watch_);
+}
+
+tl::expected<void, listen_error> peer_server::listen(const node_address& address) {
+    listener_ = listen_at(address.value());
+    if (!listener_.is_valid())
+        return tl::unexpected{listen_error::address_in_use_or_denied};
+    watch_ = g_unix_fd_add(listener_.get(), G_IO_IN, &peer_server::on_connection, this);
+    return {};
+}
+
+gboolean peer_server::on_connection(gint, GIOCondition, gpointer self) {
+    auto* it = static_cast<peer_server*>(self);
+    unique_fd fd = accept_from(it->listener_);
+    if (fd.is_valid())
+        it->server_.accept(kj::heap<socket_stream>(kj::mv(fd)));
+    return G_SOURCE_CONTINUE;
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/peer/peer_server.h
@@ -0,0 +1,50 @@
+/** @file peer_server.h What this node answers to other nodes. */
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include <capnp/rpc-twoparty.h>
+#include <glib.h>
+#include <tl/expected.hpp>
+
+#include "core/config_spread.h"
+#include "core/event_log.h"
+#include "core/membership.h"
+#include "http/caller_server.h"
+#include "peer/socket_stream.h"
+#include "runtime/loop_clock.h"
+
+namespace pollengrade {
+
+/** What a peer server needs of its node. */
+struct peer_hooks {
+    std::function<greeting(const greeting&)> on_probe;                                    ///< takes a probe
+    std::function<void(const node_address&, const membership_hooks::reached&)> probe_for; ///< probes a target
+    std::function<std::vector<member>()> members;                                         ///< the whole list
+    std::function<void(const std::vector<config_entry>&)> on_push;                        ///< takes objects
+    std::function<pull_reply(const std::vector<config_version>&)> on_pull;                ///< gives objects
+};
+
+/** Serves other nodes over Cap'n Proto RPC. */
+class peer_server {
+public:
+    peer_server(loop_clock& clock, event_log& log, peer_hooks hooks);
+    peer_server(const peer_server&) = delete;
+    peer_server& operator=(const peer_server&) = delete;
+    peer_server(peer_server&&) = delete;
+    peer_server& operator=(peer_server&&) = delete;
+    ~peer_server();
+
+    /** Starts to listen on "IPv4:port". */
+    tl::expected<void, listen_error> listen(const node_address& address);
+
+private:
+    static gboolean on_connection(gint fd, GIOCondition condition, gpointer self);
+
+    capnp::TwoPartyServer server_; ///< every connection
+    unique_fd listener_{-1};       ///< the listening socket
+    guint watch_ = 0;              ///< the listener's GLib source
+};
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/peer/socket_stream.cpp
@@ -0,0 +1,171 @@
+/** @file socket_stream.cpp Reads and writes that wait on the GLib main loop. */
+#include "peer/socket_stream.h"
+
+#include <cerrno>
+#include <cstdint>
+
+#include <arpa/inet.h>
+#include <glib-unix.h>
+#include <kj/debug.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr int keepalive_seconds = 30; ///< silence after which a connection is asked whether it lives
+constexpr int listen_backlog = 128;   ///< connections waiting to be accepted
+
+/** Fulfils a promise once a descriptor is ready; removes its watch when the promise is dropped. */
+class ready_watch {
+public:
+    ready_watch(kj::PromiseFulfiller<void>& fulfiller, int fd, GIOCondition condition)
+        : fulfiller_{fulfiller}, source_{g_unix_fd_add(fd, condition, &ready_watch::on_ready, this)} {}
+    ready_watch(const ready_watch&) = delete;
+    ready_watch& operator=(const ready_watch&) = delete;
+    ready_watch(ready_watch&&) = delete;
+    ready_watch& operator=(ready_watch&&) = delete;
+    ~ready_watch() {
+        if (source_ != 0)
+            g_source_remove(source_);
+    }
+
+private:
+    static gboolean on_ready(gint, GIOCondition, gpointer self) {
+        auto* it = static_cast<ready_watch*>(self);
+        it->source_ = 0;
+        it->fulfiller_.fulfill();
+        return G_SOURCE_REMOVE;
+    }
+
+    kj::PromiseFulfiller<void>& fulfiller_; ///< what waits
+    guint source_;                          ///< the GLib watch; 0 once it has fired
+};
+
+kj::Promise<void> when_ready(int fd, int condition) {
+    return kj::newAdaptedPromise<void, ready_watch>(fd, static_cast<GIOCondition>(condition));
+}
+
+bool would_block() {
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+}
+
+sockaddr_in to_sockaddr(std::string_view address) {
+    const auto colon = address.find(':');
+    sockaddr_in it{};
+    it.sin_family = AF_INET;
+    it.sin_port = htons(static_cast<std::uint16_t>(std::stoi(std::string{address.substr(colon + 1)})));
+    inet_pton(AF_INET, std::string{address.substr(0, colon)}.c_str(), &it.sin_addr);
+    return it;
+}
+
+unique_fd make_socket() {
+    return unique_fd{::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+}
+
+void set_option(int fd, int level, int option, int value) {
+    ::setsockopt(fd, level, option, &value, sizeof value);
+}
+
+} // namespace
+
+unique_fd::~unique_fd() {
+    if (fd_ >= 0)
+        ::close(fd_);
+}
+
+kj::Promise<std::size_t> socket_stream::tryRead(void* buffer, std::size_t min_bytes, std::size_t max_bytes) {
+    return read_more(static_cast<kj::byte*>(buffer), min_bytes, max_bytes, 0);
+}
+
+kj::Promise<std::size_t> socket_stream::read_more(kj::byte* buffer, std::size_t min_bytes,
+                                                  std::size_t max_bytes, std::size_t done) {
+    const ssize_t n = ::recv(fd_.get(), buffer + done, max_bytes - done, 0);
+    if (n == 0)
+        return done;
+    if (n < 0 && !would_block())
+        return KJ_EXCEPTION(DISCONNECTED, "read failed", errno);
+    if (n > 0)
+        done += static_cast<std::size_t>(n);
+    if (done >= min_bytes)
+        return done;
+    return when_ready(fd_.get(), G_IO_IN | G_IO_HUP | G_IO_ERR)
+        .then([this, buffer, min_bytes, max_bytes, done] {
+            return read_more(buffer, min_bytes, max_bytes, done);
+        });
+}
+
+kj::Promise<void> socket_stream::write(const void* buffer, std::size_t size) {
+    const auto* bytes = static_cast<const kj::byte*>(buffer);
+    const ssize_t n = ::send(fd_.get(), bytes, size, MSG_NOSIGNAL);
+    if (n < 0 && !would_block())
+        return KJ_EXCEPTION(DISCONNECTED, "write failed", errno);
+    const std::size_t done = n > 0 ? static_cast<std::size_t>(n) : 0;
+    if (done == size)
+        return kj::READY_NOW;
+    return when_ready(fd_.get(), G_IO_OUT | G_IO_HUP | G_IO_ERR).then([this, bytes, size, done] {
+        return write(bytes + done, size - done);
+    });
+}
+
+kj::Promise<void> socket_stream::write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) {
+    if (pieces.size() == 0)
+        return kj::READY_NOW;
+    return write(pieces[0].begin(), pieces[0].size()).then([this, pieces] {
+        return write(pieces.slice(1, pieces.size()));
+    });
+}
+
+void socket_stream::shutdownWrite() {
+    ::shutdown(fd_.get(), SHUT_WR);
+}
+
+unique_fd listen_at(std::string_view address) {
+    unique_fd fd = make_socket();
+    set_option(fd.get(), SOL_SOCKET, SO_REUSEADDR, 1);
+    const sockaddr_in where = to_sockaddr(address);
+    const auto* generic =
+        reinterpret_cast<const sockaddr*>(&where); // NOLINT(*-reinterpret-cast): the socket API's form
+    if (::bind(fd.get(), generic, sizeof where) != 0 || ::listen(fd.get(), listen_backlog) != 0)
+        return unique_fd{-1};
+    return fd;
+}
+
+unique_fd accept_from(const unique_fd& listener) {
+    unique_fd fd{::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)};
+    if (fd.is_valid()) {
+        set_option(fd.get(), IPPROTO_TCP, TCP_NODELAY, 1);
+        // A peer that is gone without a word must not hold its connection here for good.
+        set_option(fd.get(), SOL_SOCKET, SO_KEEPALIVE, 1);
+        set_option(fd.get(), IPPROTO_TCP, TCP_KEEPIDLE, keepalive_seconds);
+        set_option(fd.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, keepalive_seconds * 1000);
+    }
+    return fd;
+}
+
+kj::Promise<kj::Own<kj::AsyncIoStream>> connect_to(std::string_view address) {
+    unique_fd fd = make_socket();
+    set_option(fd.get(), IPPROTO_TCP, TCP_NODELAY, 1);
+    const sockaddr_in where = to_sockaddr(address);
+    const auto* generic =
+        reinterpret_cast<const sockaddr*>(&where); // NOLINT(*-reinterpret-cast): the socket API's form
+    if (::connect(fd.get(), generic, sizeof where) != 0 && errno != EINPROGRESS)
+        return KJ_EXCEPTION(DISCONNECTED, "connect failed", errno);
+    const int raw = fd.get();
+    return when_ready(raw, G_IO_OUT | G_IO_HUP | G_IO_ERR)
+        .then([fd = kj::mv(fd)]() mutable -> kj::Promise<kj::Own<kj::AsyncIoStream>> {
+            int code = 0;
+            socklen_t size = sizeof code;
+            ::getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &code, &size);
+            if (code != 0)
+                return KJ_EXCEPTION(DISCONNECTED, "connect failed", code);
+            kj::Own<kj::AsyncIoStream> stream = kj::heap<socket_stream>(kj::mv(fd));
+            return kj::mv(stream);
+        });
+}
+
+} // namespace pollengrade
