--- /dev/null
+++ b/models/config.pml
@@ -0,0 +1,121 @@
+/*
+ * A configuration accepted by the platform reaches every connected node and never reverts. Stands for
+ * packages/core/config_store.cpp, config_spread.cpp and packages/daemon/config_feed.cpp.
+ *
+ * Two operators write one document, each conditional on the version it has read. Three nodes: any of them may
+ * watch the platform (a relay), push to another, pull from another, lose messages, and restart, with the platform
+ * up or down. A restarted node serves only once it has read the platform, or a peer that is itself complete.
+ */
+#define NODES 3
+#define WRITES 2
+
+byte platform = 1;            /* the document's version; the text is the version's */
+bool down = false;            /* whether the platform answers */
+byte holds[NODES] = 1;        /* version held by each node */
+bool serves[NODES] = true;    /* whether the node takes requests */
+byte in_force[NODES] = 1;     /* highest version with which the node has served in this life */
+byte restarts = 0;
+byte outages = 0;
+byte lost_races = 0;
+byte won = 0;
+
+proctype operator() {
+    byte read;
+    atomic { !down -> read = platform }
+    atomic {
+        !down ->
+        if
+#ifdef BROKEN_BLIND_WRITE
+        :: true -> platform = read + 1; won++
+#else
+        :: platform == read -> platform = read + 1; won++
+        :: platform != read -> lost_races++
+#endif
+        fi
+    }
+}
+
+inline offer(node, version) {
+    if
+#ifdef BROKEN_NO_VERSION_GUARD
+    :: true -> holds[node] = version
+#else
+    :: version > holds[node] -> holds[node] = version
+    :: version <= holds[node] -> skip
+#endif
+    fi
+}
+
+/* A request is served with the version held: it never goes back within a life. */
+inline serve(node) {
+    if
+    :: serves[node] ->
+        assert(holds[node] >= in_force[node]);
+        assert(holds[node] > 0);
+        in_force[node] = holds[node]
+    :: else -> skip
+    fi
+}
+
+active proctype platform_outage() {
+    if
+    :: down = true; down = false
+    :: skip
+    fi
+}
+
+proctype node(byte me) {
+    byte peer;
+    byte version;
+    do
+    /* A push, however old: any version ever accepted may come at any time, or never. */
+    :: atomic {
+        if
+        :: version = 1
+        :: platform >= 2 -> version = 2
+        :: platform >= 3 -> version = 3
+        fi;
+        offer(me, version);
+        version = 0;
+        serve(me)
+       }
+    /* Relay: reads the platform, now or from a watch. */
+    :: atomic { !down && holds[me] < platform -> offer(me, platform); serves[me] = true; serve(me) }
+    /* Pull, by anti-entropy. */
+    :: atomic {
+        if
+        :: peer = (me + 1) % NODES
+        :: peer = (me + 2) % NODES
+        fi;
+        if
+        :: holds[peer] > holds[me] ->
+            offer(me, holds[peer]);
+            serves[me] = serves[me] || serves[peer];
+            serve(me)
+        :: else -> skip
+        fi;
+        peer = 0
+       }
+    /* Restart: nothing is kept. */
+    :: atomic {
+        restarts < 3 ->
+        restarts++;
+        holds[me] = 0;
+#ifdef BROKEN_SERVE_AT_ONCE
+        serves[me] = true;
+        serve(me);
+#else
+        serves[me] = false;
+#endif
+        in_force[me] = 0
+       }
+    :: break
+    od
+}
+
+init {
+    atomic { run node(0); run node(1); run node(2); run operator(); run operator() }
+    /* Both operators done: the one document is the winner's, and a loser was told. */
+    (won + lost_races == WRITES);
+    assert(platform == 1 + won);
+}
--- a/packages/core/service.cpp
+++ b/packages/core/service.cpp
@@ -47,7 +47,8 @@
 }
 
 void service::publish_limits() {
-    const std::uint32_t share = document_.connections_per_server / std::max(1U, holders_.value());
+    // One share stays free for a node that this one does not know of yet.
+    const std::uint32_t share = document_.connections_per_server / (holders_.value() + 1);
     const upstream_limits limits{std::max(1U, share), document_.slots_per_server, document_.queue_per_server};
     for (const auto& [version, map] : snapshots_) {
         for (const shard_entry& shard : map->shards) {
--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -24,7 +24,7 @@
   get NAME                   print a service document
   get-shard-maps NAME        print the snapshots of a service
   list                       print all documents and their versions
-Nodes (these need --node once for each node, its operators' address):
+Nodes (these need --node, a node's operators' address; the others are found through it):
   status                     nodes, versions in force, upstreams that drain
   timeline                   events of all nodes in one causal order
 Requests (these need --callers, a node's or the balancer's address):
@@ -130,9 +130,10 @@
     options.positional_help("COMMAND [ARGUMENT...]");
     options.add_options()("platform", "IPv4:port of the platform's object API",
                           cxxopts::value<std::string>())(
-        "node", "IPv4:port of a node's operators' page; once for each node",
+        "node", "IPv4:port of a node's operators' page; more than once for more",
         cxxopts::value<std::vector<std::string>>())("callers", "IPv4:port where callers are served",
-                                                    cxxopts::value<std::string>())("json", "print JSON")(
+                                                    cxxopts::value<std::string>())(
+        "only-named", "do not add the nodes that the named ones know")("json", "print JSON")(
         "expect", "apply: the version that the document replaces", cxxopts::value<std::string>())(
         "wait", "apply: seconds to wait until every node has it in force",
         cxxopts::value<unsigned>()->default_value("5"))("request", "timeline: only this request",
@@ -164,6 +165,8 @@
     context.json = flags.count("json") > 0;
     if (flags.count("node") > 0)
         context.nodes = flags["node"].as<words>();
+    if (flags.count("only-named") == 0)
+        discover_nodes(context);
     const std::string needs = it->second.needs;
     if (!needs.empty() && flags.count(needs) == 0)
         return usage(name + " needs --" + needs);
--- a/packages/ctl/node_command.cpp
+++ b/packages/ctl/node_command.cpp
@@ -127,6 +127,26 @@
 
 } // namespace
 
+void discover_nodes(command_context& context) {
+    const std::vector<std::string> named = context.nodes;
+    for (const std::string& address : named) {
+        const auto reply =
+            call({.address = address, .path = "/status", .body = {}, .headers = {}, .limit_seconds = 2});
+        const auto document = reply ? json_document::parse(reply->body) : std::nullopt;
+        const auto list = document ? document->root().member("nodes") : std::nullopt;
+        const auto nodes = list ? list->elements() : std::nullopt;
+        if (!nodes)
+            continue;
+        for (const json_view& it : *nodes) {
+            const std::string operators = text_of(it, "operators");
+            const bool is_known =
+                std::find(context.nodes.begin(), context.nodes.end(), operators) != context.nodes.end();
+            if (it.text("state") == "alive" && !is_known)
+                context.nodes.push_back(operators);
+        }
+    }
+}
+
 exit_code show_status(const command_context& context) {
     std::size_t reached = 0;
     std::string joined;
--- a/packages/ctl/node_command.h
+++ b/packages/ctl/node_command.h
@@ -8,6 +8,9 @@
 
 namespace pollengrade {
 
+/** Adds to the nodes named every node that they know to be alive. */
+void discover_nodes(command_context& context);
+
 /** Prints the status of every node named. */
 exit_code show_status(const command_context& context);
 
--- a/packages/http/upstream_client.cpp
+++ b/packages/http/upstream_client.cpp
@@ -102,10 +102,14 @@
 }
 
 SoupSession* upstream_client::session_of(const upstream_address& address) {
-    auto& session = sessions_[address];
-    if (!session)
-        session = make_session(std::max(1U, connections_(address)), idle_connection_seconds);
-    return session.get();
+    pool& it = pools_[address];
+    const std::uint32_t limit = std::max(1U, connections_(address));
+    if (it.limit != limit) {
+        // The former session ends with its last exchange, and closes what is idle now.
+        it.session = make_session(limit, idle_connection_seconds);
+        it.limit = limit;
+    }
+    return it.session.get();
 }
 
 void upstream_client::transmit(attempt_id id, const attempt_request& request) {
--- a/packages/http/upstream_client.h
+++ b/packages/http/upstream_client.h
@@ -46,6 +46,12 @@
 private:
     struct exchange;
 
+    /** A server's pool of connections. */
+    struct pool {
+        gobject_ptr<SoupSession> session; ///< keeps at most limit connections
+        std::uint32_t limit = 0;          ///< cannot be changed in a session
+    };
+
     SoupSession* session_of(const upstream_address& address);
     static void on_reply(GObject* session, GAsyncResult* result, gpointer data);
     void finish(exchange& it, GBytes* body, const GError* ec);
@@ -53,7 +59,7 @@
     loop_clock& clock_;                                                   ///< the process's clock
     std::function<std::uint32_t(const upstream_address&)> connections_;   ///< connection limits
     completion done_;                                                     ///< takes results
-    std::map<upstream_address, gobject_ptr<SoupSession>> sessions_;       ///< one for each server
+    std::map<upstream_address, pool> pools_;                              ///< one for each server
     std::unordered_map<attempt_id, std::unique_ptr<exchange>> exchanges_; ///< in flight
 };
 
--- /dev/null
+++ b/tests/core/cluster_logic_test.cpp
@@ -0,0 +1,282 @@
+/** @file cluster_logic_test.cpp Membership and spread of configuration over links that lose messages. */
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/config_spread.h"
+#include "core/config_store.h"
+#include "core/event_log.h"
+#include "core/membership.h"
+#include "core/metrics.h"
+#include "core/rendezvous_func.h"
+#include "runtime/random_source.h"
+#include "support/fake_node.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr duration link_delay = std::chrono::milliseconds{2};
+constexpr duration call_limit = std::chrono::milliseconds{400};
+
+class small_cluster;
+
+/** One node's membership and configuration. */
+struct cluster_node {
+    cluster_node(small_cluster& world, timer_queue& timers, std::size_t index, std::uint64_t start);
+
+    [[nodiscard]] object_version version() const {
+        return store.version_of({config_kind::service_document, "desk"});
+    }
+
+    event_log log{[] { return paused_wall_time; }};
+    metrics counts;
+    std::vector<object_version> applied; ///< versions put in force, in order
+    config_store store;
+    membership nodes;
+    config_spread spread;
+    bool running = true; ///< false while killed or stopped
+};
+
+/** Some nodes, and a link between any two that delays, and loses a share of the messages. */
+class small_cluster {
+public:
+    small_cluster(std::size_t size, std::uint64_t seed, std::uint64_t loss_percent)
+        : random_{seeded_random(seed)}, loss_percent_{loss_percent} {
+        for (std::size_t n = 0; n < size; ++n)
+            add(n, 1);
+    }
+
+    void add(std::size_t index, std::uint64_t start) {
+        const node_address address = address_of(index);
+        retired_.push_back(std::move(nodes_[address]));
+        nodes_[address] = std::make_unique<cluster_node>(*this, timers_, index, start);
+        nodes_[address]->nodes.start();
+    }
+
+    static node_address address_of(std::size_t index) {
+        return node_address{"127.0.0.1:" + std::to_string(9001 + index)};
+    }
+    cluster_node& at(std::size_t index) { return *nodes_.at(address_of(index)); }
+    std::function<std::uint64_t()> random() { return random_; }
+    void pass(duration span) { timers_.advance_to(timers_.now() + span); }
+    void cut(std::size_t index) { cut_.insert(address_of(index)); }
+    void heal() { cut_.clear(); }
+
+    /** Delivers a call to a node, unless it is lost; calls back with nothing after the limit then. */
+    template <typename Result>
+    void call(const cluster_node& from, const node_address& to, std::function<Result(cluster_node&)> ask,
+              std::function<void(std::optional<Result>)> done) {
+        const bool lost =
+            random_() % 100 < loss_percent_ || cut_.contains(to) || cut_.contains(from.nodes.self().address);
+        timers_.schedule_after(link_delay, [this, &from, to, lost, ask, done] {
+            const auto it = nodes_.find(to);
+            const bool answered = !lost && it != nodes_.end() && it->second->running && from.running;
+            std::optional<Result> result;
+            if (answered)
+                result = ask(*it->second);
+            timers_.schedule_after(answered ? link_delay : call_limit, [&from, result, done] {
+                if (from.running)
+                    done(result);
+            });
+        });
+    }
+
+private:
+    timer_queue timers_ = paused_clock();
+    std::function<std::uint64_t()> random_;
+    std::uint64_t loss_percent_;
+    std::map<node_address, std::unique_ptr<cluster_node>> nodes_;
+    std::vector<std::unique_ptr<cluster_node>> retired_; ///< killed ones; their timers may still run
+    std::set<node_address> cut_;                         ///< nodes that no message reaches or leaves
+};
+
+membership_hooks make_hooks(small_cluster& world, cluster_node& node) {
+    membership_hooks it;
+    it.probe = [&](const node_address& to, const greeting& word, membership_hooks::greeted done) {
+        world.call<greeting>(
+            node, to, [word](cluster_node& other) { return other.nodes.on_probe(word); }, done);
+    };
+    it.probe_through = [&](const node_address& via, const node_address& target,
+                           membership_hooks::reached done) {
+        // The helper's own probe may be lost as well: two links.
+        world.call<bool>(
+            node, via, [](cluster_node&) { return true; },
+            [&, target, done](std::optional<bool> reached) {
+                if (!reached) {
+                    done(false);
+                    return;
+                }
+                world.call<bool>(
+                    node, target, [](cluster_node&) { return true; },
+                    [done](std::optional<bool> there) { done(there.has_value()); });
+            });
+    };
+    it.list = [&](const node_address& from, membership_hooks::listed done) {
+        world.call<std::vector<member>>(
+            node, from, [](cluster_node& other) { return other.nodes.all(); }, done);
+    };
+    it.add_config = [&](greeting& word) {
+        word.config_digest = node.store.digest();
+        word.config_complete = node.spread.is_complete();
+    };
+    it.greeted_by = [&](const greeting& from) { node.spread.on_greeting(from); };
+    it.changed = [] {};
+    return it;
+}
+
+spread_hooks make_spread(small_cluster& world, cluster_node& node) {
+    spread_hooks it;
+    it.draw = [&](std::size_t count) { return node.nodes.draw(count); };
+    it.push = [&](const node_address& to, const std::vector<config_entry>& entries) {
+        world.call<bool>(
+            node, to,
+            [entries](cluster_node& other) {
+                other.spread.take(entries);
+                return true;
+            },
+            [](std::optional<bool>) {});
+    };
+    it.pull = [&](const node_address& from, const std::vector<config_version>& known,
+                  spread_hooks::pulled done) {
+        world.call<pull_reply>(
+            node, from, [known](cluster_node& other) { return other.spread.answer_pull(known); }, done);
+    };
+    it.completed = [] {};
+    return it;
+}
+
+member self_of(std::size_t index, std::uint64_t start) {
+    member it;
+    it.address = small_cluster::address_of(index);
+    it.operators = it.address;
+    it.name = "node-" + std::to_string(index);
+    it.domain = failure_domain{"domain-" + std::to_string(index % 3)};
+    it.life.start = start;
+    return it;
+}
+
+cluster_node::cluster_node(small_cluster& world, timer_queue& timers, std::size_t index, std::uint64_t start)
+    : store{[this](const config_entry& entry) {
+          applied.push_back(entry.version);
+          return true;
+      }},
+      nodes{timers,
+            log,
+            counts,
+            world.random(),
+            self_of(index, start),
+            {small_cluster::address_of(0), small_cluster::address_of(1)},
+            make_hooks(world, *this)},
+      spread{store, counts, make_spread(world, *this)} {}
+
+config_entry version_of_desk(std::uint64_t version) {
+    return {
+        {config_kind::service_document, "desk"}, object_version{version}, "text " + std::to_string(version)};
+}
+
+} // namespace
+
+TEST_CASE("nodes find each other through a seed, and a lost one is given up on by all") {
+    small_cluster world{9, 1, 0};
+    world.pass(std::chrono::seconds{20});
+    for (std::size_t n = 0; n < 9; ++n)
+        CHECK(world.at(n).nodes.live().size() == 9);
+    world.at(4).running = false;
+    world.pass(std::chrono::seconds{20});
+    for (std::size_t n = 0; n < 9; ++n) {
+        if (n != 4)
+            CHECK(world.at(n).nodes.live().size() == 8);
+    }
+}
+
+TEST_CASE("a stopped node that wakes learns that it was given up on, and is taken back") {
+    small_cluster world{6, 2, 0};
+    world.pass(std::chrono::seconds{20});
+    world.at(3).running = false;
+    world.pass(std::chrono::seconds{15});
+    REQUIRE(world.at(0).nodes.live().size() == 5);
+    world.at(3).running = true;
+    world.pass(std::chrono::seconds{20});
+    CHECK(world.at(0).nodes.live().size() == 6);
+    CHECK(world.at(3).nodes.self().life.refutations > 0);
+}
+
+TEST_CASE("a process restarted on an old address is a new member") {
+    small_cluster world{6, 3, 0};
+    world.pass(std::chrono::seconds{20});
+    world.at(3).running = false;
+    world.add(3, 2);
+    world.pass(std::chrono::seconds{20});
+    const auto& seen = world.at(0).nodes.others().at(small_cluster::address_of(3));
+    CHECK(seen.life.start == 2);
+    CHECK(seen.state == member_state::alive);
+}
+
+TEST_CASE("a node that leaves is known as leaving within two seconds") {
+    small_cluster world{9, 4, 0};
+    world.pass(std::chrono::seconds{20});
+    world.at(5).nodes.leave();
+    world.pass(std::chrono::seconds{2});
+    for (std::size_t n = 0; n < 9; ++n) {
+        if (n != 5)
+            CHECK(world.at(n).nodes.others().at(small_cluster::address_of(5)).state == member_state::leaving);
+    }
+}
+
+TEST_CASE(
+    "one message in five lost: a change is in force everywhere within three seconds, and nothing reverts") {
+    constexpr std::uint64_t worlds = 20;
+    for (std::uint64_t seed = 1; seed <= worlds; ++seed) {
+        CAPTURE(seed);
+        small_cluster world{24, seed, 20};
+        world.pass(std::chrono::seconds{30});
+        for (std::uint64_t version = 1; version <= 5; ++version) {
+            // Two relays hear of it from the platform, one of them late, with an older version first.
+            world.at(seed % 24).spread.take({version_of_desk(version)});
+            world.at((seed + 7) % 24).spread.take({version_of_desk(version > 1 ? version - 1 : 1)});
+            world.pass(std::chrono::seconds{3});
+            for (std::size_t n = 0; n < 24; ++n)
+                CHECK(world.at(n).version() == object_version{version});
+        }
+        for (std::size_t n = 0; n < 24; ++n)
+            CHECK(std::is_sorted(world.at(n).applied.begin(), world.at(n).applied.end()));
+    }
+}
+
+TEST_CASE("a node cut off from all hears of a change once it is back") {
+    small_cluster world{9, 5, 0};
+    world.pass(std::chrono::seconds{20});
+    world.cut(6);
+    world.pass(std::chrono::seconds{15});
+    world.at(0).spread.take({version_of_desk(1)});
+    world.pass(std::chrono::seconds{5});
+    CHECK(world.at(6).version() == object_version{0});
+    CHECK_FALSE(world.at(6).nodes.is_in_touch());
+    world.heal();
+    world.pass(std::chrono::seconds{20});
+    CHECK(world.at(6).version() == object_version{1});
+    CHECK(world.at(6).nodes.is_in_touch());
+}
+
+TEST_CASE("a change of membership moves few duties") {
+    std::vector<node_address> nodes;
+    for (std::size_t n = 0; n < 80; ++n)
+        nodes.push_back(small_cluster::address_of(n));
+    std::vector<node_address> fewer = nodes;
+    fewer.erase(fewer.begin() + 40);
+    std::size_t moved = 0;
+    for (int duty = 0; duty < 100; ++duty) {
+        const auto before = pick_by_rendezvous("relay " + std::to_string(duty), nodes, 2);
+        const auto after = pick_by_rendezvous("relay " + std::to_string(duty), fewer, 2);
+        moved += before == after ? 0 : 1;
+    }
+    CHECK(moved <= 10);
+}
+
+} // namespace pollengrade
