Fix: nodes that gave each other up find back, and a lost pull is asked of another node at once

Cause: a node that holds all others dead probes nobody, so nobody hears that it is suspected and can refute; a stopped node was not taken back for the same reason. A pull whose reply was lost waited for the next probe with a difference, up to a second. Ruled out: the version guard (no node ever went back), the push (its fan-out reaches 24 nodes in three steps).

--- a/packages/core/config_spread.cpp
+++ b/packages/core/config_spread.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr std::size_t push_fanout = 4;  ///< nodes that each news is pushed on to
-constexpr std::size_t pull_sources = 3; ///< peers asked by a node that starts without the platform
+constexpr std::size_t push_fanout = 4;        ///< nodes that each news is pushed on to
+constexpr std::uint32_t max_pull_retries = 3; ///< other peers asked after a lost pull
 
 } // namespace
 
@@ -35,12 +35,15 @@
 }
 
 void config_spread::on_greeting(const greeting& from) {
-    if (from.config_digest != store_.digest() || (from.config_complete && !complete_))
+    if (from.config_digest != store_.digest() || (from.config_complete && !complete_)) {
+        if (!pulling_)
+            retries_left_ = max_pull_retries;
         pull(from.sender.address);
+    }
 }
 
 void config_spread::pull_from_peers() {
-    for (const node_address& it : hooks_.draw(pull_sources))
+    for (const node_address& it : hooks_.draw(1))
         pull(it);
 }
 
@@ -50,8 +53,14 @@
     ++counts_.counter("config_pulls_sent");
     hooks_.pull(from, known(), [this](const std::optional<pull_reply>& reply) {
         pulling_ = false;
-        if (!reply)
+        if (!reply) {
+            // The difference still stands: ask somebody else now, not at the next probe.
+            if (retries_left_ > 0) {
+                --retries_left_;
+                pull_from_peers();
+            }
             return;
+        }
         take(reply->entries);
         if (reply->complete && !std::exchange(complete_, true))
             hooks_.completed();
--- a/packages/core/config_spread.h
+++ b/packages/core/config_spread.h
@@ -48,7 +48,7 @@
     void take(const std::vector<config_entry>& entries);
     /** Looks at a peer's greeting, and pulls when its configuration differs. */
     void on_greeting(const greeting& from);
-    /** Pulls from some peers; used by a node that starts while the platform is down. */
+    /** Pulls from a peer drawn at random; used by a node that starts while the platform is down. */
     void pull_from_peers();
     /** @return what a peer that knows @p known lacks. */
     [[nodiscard]] pull_reply answer_pull(const std::vector<config_version>& known) const;
@@ -61,11 +61,12 @@
 private:
     void pull(const node_address& from);
 
-    config_store& store_;   ///< configuration known
-    metrics& counts_;       ///< the counters
-    spread_hooks hooks_;    ///< the network
-    bool complete_ = false; ///< whether all configuration is held
-    bool pulling_ = false;  ///< one pull at a time
+    config_store& store_;            ///< configuration known
+    metrics& counts_;                ///< the counters
+    spread_hooks hooks_;             ///< the network
+    bool complete_ = false;          ///< whether all configuration is held
+    bool pulling_ = false;           ///< one pull at a time
+    std::uint32_t retries_left_ = 0; ///< pulls still made after a lost one
 };
 
 } // namespace pollengrade
--- a/packages/core/membership.cpp
+++ b/packages/core/membership.cpp
@@ -46,16 +46,37 @@
 }
 
 void membership::join() {
-    if (!seeds_.empty() && live().size() <= 1) {
-        const node_address seed = seeds_[random_() % seeds_.size()];
-        hooks_.list(seed, [this](const std::optional<std::vector<member>>& list) {
-            if (!list)
-                return;
-            for (const member& it : *list)
-                take(it);
-        });
-    }
     timers_.schedule_after(rejoin_period, [this] { join(); });
+    seek_lost();
+    if (seeds_.empty() || live().size() > 1)
+        return;
+    const node_address seed = seeds_[random_() % seeds_.size()];
+    hooks_.list(seed, [this](const std::optional<std::vector<member>>& list) {
+        if (!list)
+            return;
+        for (const member& it : *list)
+            take(it);
+    });
+}
+
+void membership::seek_lost() {
+    std::vector<node_address> lost;
+    for (const node_address& it : seeds_) {
+        if (it != self_.address && !others_.contains(it))
+            lost.push_back(it);
+    }
+    for (const auto& [address, it] : others_) {
+        if (it.state == member_state::dead)
+            lost.push_back(address);
+    }
+    if (lost.empty())
+        return;
+    // Two sides of a cut have given each other up: a probe across it lets one refute.
+    const node_address target = lost[random_() % lost.size()];
+    hooks_.probe(target, make_greeting(target), [this](const std::optional<greeting>& reply) {
+        if (reply)
+            heard(*reply);
+    });
 }
 
 std::vector<member> membership::all() const {
@@ -141,7 +162,7 @@
     hooks_.changed();
 }
 
-greeting membership::make_greeting() {
+greeting membership::make_greeting(const node_address& to) {
     greeting it;
     it.sender = self_;
     std::vector<std::pair<std::uint32_t, node_address>> fresh;
@@ -157,6 +178,10 @@
         if (--news_[address] == 0)
             news_.erase(address);
     }
+    // Whoever is suspected or given up on here must hear of it, or it could not refute.
+    const auto known = others_.find(to);
+    if (known != others_.end() && known->second.state != member_state::alive)
+        it.updates.push_back(known->second);
     hooks_.add_config(it);
     return it;
 }
@@ -171,12 +196,7 @@
 
 greeting membership::on_probe(const greeting& from) {
     heard(from);
-    greeting reply = make_greeting();
-    // A sender that is given up on here must learn so, however long ago the news was spread.
-    const auto known = others_.find(from.sender.address);
-    if (known != others_.end() && known->second.state != member_state::alive)
-        reply.updates.push_back(known->second);
-    return reply;
+    return make_greeting(from.sender.address);
 }
 
 void membership::probe_next() {
@@ -196,12 +216,7 @@
 
 void membership::probe(const node_address& target) {
     ++counts_.counter("probes_sent");
-    greeting word = make_greeting();
-    // A suspect must hear of it from whoever probes it, or it could not refute.
-    const auto it = others_.find(target);
-    if (it != others_.end() && it->second.state == member_state::suspect)
-        word.updates.push_back(it->second);
-    hooks_.probe(target, word, [this, target](const std::optional<greeting>& reply) {
+    hooks_.probe(target, make_greeting(target), [this, target](const std::optional<greeting>& reply) {
         if (reply)
             heard(*reply);
         else
@@ -252,7 +267,7 @@
 void membership::leave() {
     self_.state = member_state::leaving;
     for (const node_address& it : draw(leave_notices))
-        hooks_.probe(it, make_greeting(), [](const std::optional<greeting>&) {});
+        hooks_.probe(it, make_greeting(it), [](const std::optional<greeting>&) {});
 }
 
 } // namespace pollengrade
--- a/packages/core/membership.h
+++ b/packages/core/membership.h
@@ -75,13 +75,14 @@
 
 private:
     void join();
+    void seek_lost();
     void probe_next();
     void probe(const node_address& target);
     void probe_through_others(const node_address& target);
     void suspect(const node_address& target);
     void give_up(const node_address& target, incarnation life);
     void heard(const greeting& from);
-    [[nodiscard]] greeting make_greeting();
+    [[nodiscard]] greeting make_greeting(const node_address& to);
     void spread(const member& word);
     [[nodiscard]] std::uint32_t spread_count() const;
 
