Change: a server that fails three exchanges in a row rests, and is tried with one request at a time

Cause: a frozen server closes connections over its limit; each try counted against the budget of extra load until it was empty, and its shards were missing in every answer. Ruled out: the choice of replica (it saw the server's queue grow, but its window closes first). Change: lost, malformed, late and wrongly answered exchanges, and withdrawals long after a reply was due, count in a row; at three the server rests from 0.1 s to 2 s, and then takes one request at a time until it replies.

--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -100,8 +100,12 @@
         return;
     upstream& server = at(it->second.request.to);
     const bool sent = it->second.sent;
+    const duration waited = timers_.now() - it->second.sent_at;
     attempts_.erase(it);
     if (sent) {
+        // Withdrawn long after a reply was due: the server, or the connection, may have gone silent.
+        if (waited >= server.silence_limit())
+            note_failure(server);
         hooks_.abort(id);
         server.on_finished();
         ++counts_.counter("attempts_aborted");
@@ -144,11 +148,20 @@
         reached();
         note_draining(server.address(), server.incarnation());
         break;
+    case attempt_error::version_absent:
+        reached();
+        break;
     default:
+        note_failure(server);
         break;
     }
 }
 
+void dispatcher::note_failure(upstream& server) {
+    if (server.on_failed(timers_.now()))
+        log_.record(event_kind::upstream_unreachable, {}, server.address().value());
+}
+
 void dispatcher::complete(attempt_id id, attempt_result result) {
     const auto it = attempts_.find(id);
     if (it == attempts_.end()) {
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -99,6 +99,7 @@
     upstream& at(const upstream_address& address);
     void transmit(attempt_id id);
     void send_waiting(upstream& server);
+    void note_failure(upstream& server);
     void note_result(upstream& server, const attempt& sent, const attempt_result& result);
 
     timer_queue& timers_;                              ///< the clock
--- a/packages/core/upstream.cpp
+++ b/packages/core/upstream.cpp
@@ -12,6 +12,7 @@
 constexpr double window_decrease = 0.7;                               ///< factor on a refusal for load
 constexpr duration min_rest = std::chrono::milliseconds{100};         ///< after the first failed connection
 constexpr duration max_rest = std::chrono::seconds{2};                ///< after many
+constexpr duration min_silence = std::chrono::milliseconds{30};       ///< shorter silences say nothing
 constexpr duration default_shed_rest = std::chrono::milliseconds{20}; ///< when the server names no time
 constexpr duration max_shed_rest = std::chrono::seconds{1};           ///< a longer wish is shortened to this
 
@@ -23,6 +24,11 @@
     return duration{static_cast<duration::rep>((ahead / parallel + 1) * service_time_us_)};
 }
 
+duration upstream::silence_limit() const {
+    constexpr double service_times = 4; // Well past what queueing for the slots explains.
+    return std::max(min_silence, duration{static_cast<duration::rep>(service_times * service_time_us_)});
+}
+
 double upstream::load() const {
     const auto own = static_cast<double>(in_flight_ + queue_.size());
     // The report is as old as the last reply: count only what other nodes had there.
@@ -69,17 +75,30 @@
     window_ = std::max(1.0, window_ * window_decrease);
 }
 
-bool upstream::on_unreachable(time_point now) {
-    const bool news = failures_ == 0;
+void upstream::rest(time_point now) {
     constexpr std::uint32_t max_doublings = 5;
-    const duration rest = std::min(max_rest, min_rest * (1U << std::min(failures_, max_doublings)));
-    closed_until_ = now + rest;
-    ++failures_;
+    const std::uint32_t doublings = std::min(failures_ - failures_to_rest, max_doublings);
+    closed_until_ = now + std::min(max_rest, min_rest * (1U << doublings));
+}
+
+bool upstream::on_unreachable(time_point now) {
+    const bool news = failures_ < failures_to_rest;
+    // Nothing listens there: no need to see it three times.
+    failures_ = std::max(failures_ + 1, failures_to_rest);
+    rest(now);
     return news;
 }
 
+bool upstream::on_failed(time_point now) {
+    ++failures_;
+    if (failures_ < failures_to_rest)
+        return false;
+    rest(now);
+    return failures_ == failures_to_rest;
+}
+
 bool upstream::on_reachable() {
-    const bool news = failures_ > 0;
+    const bool news = failures_ >= failures_to_rest;
     failures_ = 0;
     closed_until_ = time_point{};
     return news;
--- a/packages/core/upstream.h
+++ b/packages/core/upstream.h
@@ -34,8 +34,13 @@
     [[nodiscard]] std::uint32_t max_in_flight() const noexcept { return limits_.max_in_flight; }
     [[nodiscard]] const std::string& incarnation() const noexcept { return incarnation_; }
 
-    /** @return whether new work may be sent at @p now. */
-    [[nodiscard]] bool is_usable(time_point now) const { return !draining_ && now >= closed_until_; }
+    /**
+     * @return whether new work may be sent at @p now; a server that rested after failures is tried with one
+     * request at a time.
+     */
+    [[nodiscard]] bool is_usable(time_point now) const {
+        return !draining_ && now >= closed_until_ && (failures_ < failures_to_rest || in_flight_ == 0);
+    }
     /** @return whether the server sheds load at @p now; no hedges go to it. */
     [[nodiscard]] bool is_shedding(time_point now) const { return now < shedding_until_; }
     /** @return whether one more request may be sent now. */
@@ -44,6 +49,8 @@
     [[nodiscard]] bool has_queue_room() const { return queue_.size() < limits_.max_queue; }
     /** @return expected time until a request added now is answered. */
     [[nodiscard]] duration expected_wait() const;
+    /** @return time without a reply that counts as a failed exchange. */
+    [[nodiscard]] duration silence_limit() const;
     /** @return requests sent and waiting, relative to the slots and weighed by service time. */
     [[nodiscard]] double load() const;
 
@@ -64,9 +71,12 @@
     void on_reply(duration service_time, std::uint32_t server_in_flight);
     /** Notes a refusal for load. */
     void on_shed(time_point now, duration retry_after);
-    /** Notes a failed connection; the server rests for a growing time. @return whether it was usable. */
+    /** Notes a failed connection; the server rests for a growing time. @return whether that is news. */
     bool on_unreachable(time_point now);
-    /** Notes that the server was reached. @return whether it had been unreachable. */
+    /** Notes an exchange without a usable reply; after some in a row the server rests. @return whether it
+     * does. */
+    bool on_failed(time_point now);
+    /** Notes a reply. @return whether the server had been given a rest. */
     bool on_reachable();
 
     /**
@@ -79,6 +89,9 @@
     bool mark_live(std::string_view incarnation);
 
 private:
+    static constexpr std::uint32_t failures_to_rest = 3; ///< failed exchanges in a row
+
+    void rest(time_point now);
     [[nodiscard]] std::uint32_t window() const { return static_cast<std::uint32_t>(window_); }
 
     upstream_address address_;           ///< where it listens
@@ -92,7 +105,7 @@
     std::string incarnation_;            ///< the incarnation last heard of
     time_point closed_until_{};          ///< no new work before this
     time_point shedding_until_{};        ///< sheds load until this
-    std::uint32_t failures_ = 0;         ///< failed connections in a row
+    std::uint32_t failures_ = 0;         ///< failed connections and exchanges in a row
 };
 
 } // namespace pollengrade
