Change: hedges are due at one and a half times the shard's 95th percentile

Cause: a hedge at the 95th percentile itself sends one for every twentieth reply, fault or none, and empties the budget that stragglers need. Ruled out: a larger budget (both users pay for extra load). Change: the margin of 1.5.

--- a/packages/core/service.cpp
+++ b/packages/core/service.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr double hedge_quantile = 0.95; ///< a hedge is due when this share of replies would be in
+constexpr double hedge_quantile = 0.95; ///< the quantile of a shard's latency that hedges are timed by
+constexpr double hedge_margin = 1.5;    ///< times the quantile: later than any reply without a fault
 
 } // namespace
 
@@ -89,8 +90,10 @@
 
 duration service::hedge_delay(shard_id shard) const {
     const auto it = tails_.find(shard);
-    return it == tails_.end() ? document_.hedge_min_delay
-                              : std::max(document_.hedge_min_delay, it->second.value());
+    if (it == tails_.end())
+        return document_.hedge_min_delay;
+    const auto due = static_cast<duration::rep>(static_cast<double>(it->second.value().count()) * hedge_margin);
+    return std::max(document_.hedge_min_delay, duration{due});
 }
 
 } // namespace pollengrade
