--- a/packages/core/service.cpp
+++ b/packages/core/service.cpp
@@ -92,7 +92,8 @@
     const auto it = tails_.find(shard);
     if (it == tails_.end())
         return document_.hedge_min_delay;
-    const auto due = static_cast<duration::rep>(static_cast<double>(it->second.value().count()) * hedge_margin);
+    const auto due =
+        static_cast<duration::rep>(static_cast<double>(it->second.value().count()) * hedge_margin);
     return std::max(document_.hedge_min_delay, duration{due});
 }
 
--- a/packages/core/upstream.cpp
+++ b/packages/core/upstream.cpp
@@ -63,6 +63,7 @@
 }
 
 void upstream::on_reply(duration service_time, std::uint32_t server_in_flight) {
+    sheds_ = 0;
     service_time_us_ += smoothing * (static_cast<double>(service_time.count()) - service_time_us_);
     server_in_flight_ = server_in_flight;
     const double most = std::max(1.0, static_cast<double>(limits_.max_in_flight));
@@ -70,8 +71,10 @@
 }
 
 void upstream::on_shed(time_point now, duration retry_after) {
-    const duration rest = retry_after.count() > 0 ? std::min(retry_after, max_shed_rest) : default_shed_rest;
-    shedding_until_ = now + rest;
+    const duration asked = retry_after.count() > 0 ? retry_after : default_shed_rest;
+    constexpr std::uint32_t max_doublings = 6;
+    shedding_until_ = now + std::min(max_shed_rest, asked * (1U << std::min(sheds_, max_doublings)));
+    ++sheds_;
     window_ = std::max(1.0, window_ * window_decrease);
 }
 
--- a/packages/core/upstream.h
+++ b/packages/core/upstream.h
@@ -105,6 +105,7 @@
     std::string incarnation_;            ///< the incarnation last heard of
     time_point closed_until_{};          ///< no new work before this
     time_point shedding_until_{};        ///< sheds load until this
+    std::uint32_t sheds_ = 0;            ///< refusals for load in a row
     std::uint32_t failures_ = 0;         ///< failed connections and exchanges in a row
 };
 
--- /dev/null
+++ b/tests/http/codec_test.cpp
@@ -0,0 +1,54 @@
+/** @file codec_test.cpp What comes from outside is read whole or not at all. */
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "http/codec.h"
+#include "http/json_view.h"
+
+namespace pollengrade {
+
+TEST_CASE("claims are read as they were written") {
+    claim it;
+    it.state = claim_state::answered;
+    it.token = "token";
+    it.fingerprint = 0xffff'ffff'ffff'ffffULL;
+    it.version = index_version{7};
+    it.shard = shard_id{3};
+    it.rows = {{-5, "key \"quoted\"", "text"}};
+    const auto read = decode_claim(encode_claim(it));
+    REQUIRE(read.has_value());
+    CHECK(read->state == it.state);
+    CHECK(read->token == it.token);
+    CHECK(read->fingerprint == it.fingerprint);
+    CHECK(read->rows == it.rows);
+}
+
+TEST_CASE("every cut of a claim and of a reply is refused") {
+    const std::string text = encode_claim(claim{});
+    for (std::size_t n = 0; n < text.size(); ++n)
+        CHECK_FALSE(decode_claim(std::string_view{text}.substr(0, n)).has_value());
+    const std::string reply = R"({"request_id":"r","shard":1,"index_version":2,"rows":[],"in_flight":0,)"
+                              R"("draining":false,"incarnation":"i"})";
+    REQUIRE(decode_shard_reply(reply).has_value());
+    for (std::size_t n = 0; n < reply.size(); ++n)
+        CHECK_FALSE(decode_shard_reply(std::string_view{reply}.substr(0, n)).has_value());
+}
+
+TEST_CASE("deep nesting is refused before it is parsed") {
+    CHECK_FALSE(json_document::parse(std::string(1000000, '[')).has_value());
+    CHECK(json_document::parse("[\"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[\"]").has_value());
+}
+
+TEST_CASE("wrong shard maps are told apart") {
+    CHECK(decode_shard_maps("{}").error() == shard_map_error::malformed);
+    CHECK(decode_shard_maps(R"({"versions":[{"version":1,"shards":[]}]})").error() ==
+          shard_map_error::no_shards);
+    CHECK(decode_shard_maps(R"({"versions":[{"version":1,"shards":[{"id":0,"replicas":["host:1"]}]}]})")
+              .error() == shard_map_error::bad_address);
+    CHECK(decode_shard_maps(
+              R"({"versions":[{"version":1,"shards":[{"id":0,"replicas":[]},{"id":0,"replicas":[]}]}]})")
+              .error() == shard_map_error::duplicate_shard);
+}
+
+} // namespace pollengrade
