--- a/packages/core/event_log.cpp
+++ b/packages/core/event_log.cpp
@@ -32,6 +32,10 @@
 }
 
 void event_log::observe(event_stamp seen) {
+    // A process whose wall clock is far off must not drag all others along.
+    constexpr std::int64_t max_ahead_ms = 60'000;
+    if (seen.wall_ms > wall_clock_().time_since_epoch().count() + max_ahead_ms)
+        return;
     latest_ = std::max(latest_, seen);
 }
 
