--- a/packages/core/query_router.cpp
+++ b/packages/core/query_router.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr duration min_retry_after = std::chrono::milliseconds{20}; ///< least time told to a refused caller
-constexpr duration max_loop_lag = std::chrono::milliseconds{5};     ///< above it new requests are refused
 constexpr duration stopping_retry_after = std::chrono::milliseconds{1}; ///< another node takes it at once
 constexpr duration not_ready_retry_after = std::chrono::seconds{1};     ///< configuration is being read
 
@@ -33,11 +32,6 @@
         refuse(request, refusal_reason::not_ready, not_ready_retry_after, respond);
         return id;
     }
-    if (const duration lag = parts_.loop_lag(); lag > max_loop_lag && running() > 0) {
-        // This process is the bottleneck: a refusal costs it a fraction of a query.
-        refuse(request, refusal_reason::overload, std::max(lag, min_retry_after), respond);
-        return id;
-    }
     const auto it = services_.find(request.service);
     if (it == services_.end()) {
         refuse(request, refusal_reason::unknown_service, {}, respond);
--- a/packages/core/query_router.h
+++ b/packages/core/query_router.h
@@ -30,7 +30,6 @@
     std::function<wall_time()> wall_clock; ///< the wall clock, for the age of idempotency keys
     transport_hooks transport;             ///< the network
     claim_store_hooks claims;              ///< the platform, for orders
-    std::function<duration()> loop_lag;    ///< how late the process is with what is due
     holder_count holders;                  ///< nodes that share each server's connections
 };
 
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -37,7 +37,6 @@
                {[this](attempt_id id, const attempt_request& request) { upstreams_.transmit(id, request); },
                 [this](attempt_id id) { upstreams_.abort(id); }},
                platform_.claim_hooks(),
-               [this] { return clock_.lag(); },
                holder_count{1}}},
       store_{[this](const config_entry& entry) { return apply(entry); }},
       cluster_{settings_,
--- a/packages/runtime/loop_clock.cpp
+++ b/packages/runtime/loop_clock.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr double lag_smoothing = 0.05; ///< weight of a new sample of the loop's lag
-
 /** A source that is dispatched at its ready time only. */
 // NOLINTNEXTLINE(cppcoreguidelines-avoid-non-const-global-variables): GLib takes it non-const
 GSourceFuncs ready_time_functions{nullptr,
@@ -53,11 +51,7 @@
     if (syncing_)
         return;
     syncing_ = true;
-    const time_point now = monotonic_now();
-    const auto due = timers_.next_deadline();
-    const duration late = due && *due < now ? now - *due : duration{0};
-    lag_us_ += lag_smoothing * (static_cast<double>(late.count()) - lag_us_);
-    timers_.advance_to(now);
+    timers_.advance_to(monotonic_now());
     syncing_ = false;
     rearm();
 }
--- a/packages/runtime/loop_clock.h
+++ b/packages/runtime/loop_clock.h
@@ -25,9 +25,6 @@
      */
     void sync();
 
-    /** @return how late the loop has been with what was due, smoothed: its own queueing delay. */
-    [[nodiscard]] duration lag() const noexcept { return duration{static_cast<duration::rep>(lag_us_)}; }
-
 private:
     void rearm();
     static gboolean on_timeout(gpointer self);
@@ -35,7 +32,6 @@
     timer_queue timers_;   ///< what the loop drives
     GSource* source_;      ///< wakes the loop at the earliest deadline
     gint64 armed_at_ = -1; ///< the ready time set on the source; -1 for never
-    double lag_us_ = 0;    ///< see lag()
     bool syncing_ = false; ///< whether sync() is on the call stack
 };
 
--- a/tests/support/fake_node.cpp
+++ b/tests/support/fake_node.cpp
@@ -22,7 +22,6 @@
                 },
                 [this](attempt_id id) { sent_.at(id).aborted = true; }},
                std::move(claims),
-               [] { return duration{0}; },
                holder_count{1}}} {
     router_.set_ready();
 }
