--- a/bench/bench_load.cpp
+++ b/bench/bench_load.cpp
@@ -101,7 +101,7 @@
 
 private:
     struct exchange {
-        open_loop* owner;
+        open_loop* owner = nullptr;
         time_point intended;
         gobject_ptr<SoupMessage> message;
     };
--- a/packages/core/load_budget.h
+++ b/packages/core/load_budget.h
@@ -13,11 +13,10 @@
      * @param percent extra requests for each hundred needed
      * @param burst most extra requests saved up
      */
-    load_budget(std::uint32_t percent, std::uint32_t burst) {
-        set_limits(percent, burst);
-        // Full at the start: a fresh node that meets a lost server must be able to ask another.
-        saved_ = capacity_;
-    }
+    load_budget(std::uint32_t percent, std::uint32_t burst)
+        : per_request_{percent}, capacity_{std::uint64_t{burst} * units_per_token},
+          // Full at the start: a fresh node that meets a lost server must be able to ask another.
+          saved_{capacity_} {}
 
     /** Changes the bounds and keeps what is saved, as far as the new burst allows. */
     void set_limits(std::uint32_t percent, std::uint32_t burst) {
--- a/packages/core/service.cpp
+++ b/packages/core/service.cpp
@@ -69,8 +69,8 @@
 shard_map_ptr service::pin(std::optional<index_version> excluded) const {
     shard_map_ptr best;
     std::size_t best_missing = 0;
-    for (auto it = snapshots_.rbegin(); it != snapshots_.rend();
-         ++it) { // NOLINT(modernize-loop-convert): reversed
+    // NOLINTNEXTLINE(modernize-loop-convert): from the newest to the oldest
+    for (auto it = snapshots_.rbegin(); it != snapshots_.rend(); ++it) {
         if (it->first == excluded)
             continue;
         const std::size_t missing = it->second->shards.size() - usable_shards(*it->second);
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 cluster::cluster(const node_settings& settings, loop_clock& clock, event_log& log, metrics& counts,
-                 platform_client& platform, config_store& store, std::function<std::uint64_t()> random,
+                 platform_client& platform, config_store& store, const std::function<std::uint64_t()>& random,
                  cluster_hooks hooks)
     : clock_{clock}, hooks_{std::move(hooks)}, store_{store}, client_{clock, log},
       membership_{clock.timers(),         log, counts, random, self_of(settings), settings.seeds,
--- a/packages/daemon/cluster.h
+++ b/packages/daemon/cluster.h
@@ -31,7 +31,7 @@
 class cluster {
 public:
     cluster(const node_settings& settings, loop_clock& clock, event_log& log, metrics& counts,
-            platform_client& platform, config_store& store, std::function<std::uint64_t()> random,
+            platform_client& platform, config_store& store, const std::function<std::uint64_t()>& random,
             cluster_hooks hooks);
 
     /** Listens for peers, joins, and reads configuration. */
--- a/packages/peer/peer_codec.cpp
+++ b/packages/peer/peer_codec.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr std::size_t max_name_bytes = 63;             ///< as in the settings
-constexpr std::size_t max_object_bytes = 1024 * 1024U; ///< as in the platform
+constexpr std::size_t max_name_bytes = 63;                         ///< as in the settings
+constexpr std::size_t max_object_bytes = std::size_t{1024} * 1024; ///< as in the platform
 
 std::string to_string_copy(capnp::Text::Reader it) {
     return std::string{it.cStr(), it.size()};
--- a/packages/peer/peer_server.cpp
+++ b/packages/peer/peer_server.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 /** The interface that peers call. */
+// NOLINTNEXTLINE(cppcoreguidelines-virtual-class-destructor): the interface's own is virtual
 class peer_interface final : public wire::Peer::Server {
 public:
     peer_interface(loop_clock& clock, event_log& log, peer_hooks hooks)
--- a/tests/core/cluster_logic_test.cpp
+++ b/tests/core/cluster_logic_test.cpp
@@ -98,12 +98,12 @@
 
 membership_hooks make_hooks(small_cluster& world, cluster_node& node) {
     membership_hooks it;
-    it.probe = [&](const node_address& to, const greeting& word, membership_hooks::greeted done) {
+    it.probe = [&](const node_address& to, const greeting& word, const membership_hooks::greeted& done) {
         world.call<greeting>(
             node, to, [word](cluster_node& other) { return other.nodes.on_probe(word); }, done);
     };
     it.probe_through = [&](const node_address& via, const node_address& target,
-                           membership_hooks::reached done) {
+                           const membership_hooks::reached& done) {
         // The helper's own probe may be lost as well: two links.
         world.call<bool>(
             node, via, [](cluster_node&) { return true; },
@@ -117,7 +117,7 @@
                     [done](std::optional<bool> there) { done(there.has_value()); });
             });
     };
-    it.list = [&](const node_address& from, membership_hooks::listed done) {
+    it.list = [&](const node_address& from, const membership_hooks::listed& done) {
         world.call<std::vector<member>>(
             node, from, [](cluster_node& other) { return other.nodes.all(); }, done);
     };
@@ -143,7 +143,7 @@
             [](std::optional<bool>) {});
     };
     it.pull = [&](const node_address& from, const std::vector<config_version>& known,
-                  spread_hooks::pulled done) {
+                  const spread_hooks::pulled& done) {
         world.call<pull_reply>(
             node, from, [known](cluster_node& other) { return other.spread.answer_pull(known); }, done);
     };
--- a/tests/core/order_run_test.cpp
+++ b/tests/core/order_run_test.cpp
@@ -179,7 +179,7 @@
     }
 
     /** Hooks that a killed node neither uses nor hears from. */
-    static claim_store_hooks mortal(claim_store_hooks inner, const std::shared_ptr<bool>& alive) {
+    static claim_store_hooks mortal(const claim_store_hooks& inner, const std::shared_ptr<bool>& alive) {
         claim_store_hooks it;
         it.read = [inner, alive](const claim_name& name, const store_done& done) {
             if (*alive)
--- a/tests/support/fake_claim_store.cpp
+++ b/tests/support/fake_claim_store.cpp
@@ -31,7 +31,7 @@
 
 claim_store_hooks fake_claim_store::hooks() {
     claim_store_hooks it;
-    it.read = [this](const claim_name& name, store_done done) {
+    it.read = [this](const claim_name& name, const store_done& done) {
         const call_fate fate = fate_();
         switch (fate) {
         case call_fate::answered:
@@ -52,7 +52,8 @@
             break;
         }
     };
-    it.write = [this](const claim_name& name, const claim& value, object_version expected, store_done done) {
+    it.write = [this](const claim_name& name, const claim& value, object_version expected,
+                      const store_done& done) {
         switch (fate_()) {
         case call_fate::answered:
             finish(apply_write(name, value, expected), done, call_time);
