--- a/packages/ctl/document_command.cpp
+++ b/packages/ctl/document_command.cpp
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 
+#include "core/node_settings.h"
 #include "core/service_document.h"
 #include "ctl/http_call.h"
 #include "http/codec.h"
@@ -205,6 +206,17 @@
     return exit_code::success;
 }
 
+exit_code print_reference() {
+    std::cout << "# Settings\n\nMade by `pollengradectl reference`; every key there is, with its unit, range "
+                 "and default.\n"
+                 "An unknown or duplicate group or key is an error that names group, key and line, and "
+                 "nothing of a\n"
+                 "wrong text takes effect.\n\n## A node's settings\n\n"
+              << describe_rules(node_settings_rules()) << "\n## Service documents\n\n"
+              << describe_rules(service_document_rules());
+    return exit_code::success;
+}
+
 exit_code apply_document(const command_context& context, const apply_arguments& given) {
     apply_arguments arguments = given;
     const auto text = read_file(arguments.path);
--- a/packages/ctl/document_command.h
+++ b/packages/ctl/document_command.h
@@ -23,6 +23,9 @@
 /** Checks a file, writes it conditionally, and waits until the nodes have it in force. */
 exit_code apply_document(const command_context& context, const apply_arguments& arguments);
 
+/** Prints the reference of a node's settings and of service documents. */
+exit_code print_reference();
+
 /** Prints one document. */
 exit_code get_document(const command_context& context, config_kind kind, const std::string& name);
 
--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -19,6 +19,7 @@
 constexpr const char* manual = R"(
 Documents (these need --platform):
   check FILE                 say what is wrong with a service document
+  reference                  print every key of settings and service documents
   apply FILE                 put a service document in force on every node
   apply-shard-maps NAME FILE the same for the snapshots of a service
   get NAME                   print a service document
@@ -76,6 +77,7 @@
     static const std::map<std::string, command> all{
         {"check",
          {1, "", [](context_type c, const words& it, flags_type) { return check_document(c, it[0]); }}},
+        {"reference", {0, "", [](context_type, const words&, flags_type) { return print_reference(); }}},
         {"apply",
          {1, "platform",
           [](context_type c, const words& it, flags_type flags) {
