Add: status says when a node is cut off from the others

Cause: an operator could not see that a node goes on with what it has (docs/decisions/004-configuration.md). Measured: not anew; the test 'a node cut off from all hears of a change once it is back' covers is_in_touch(). Conclusion: visible now.

--- a/packages/ctl/node_command.cpp
+++ b/packages/ctl/node_command.cpp
@@ -165,7 +165,8 @@
         const json_view root = document->root();
         std::cout << text_of(root, "node") << " (" << address << ", " << text_of(root, "failure_domain")
                   << "): " << (root.boolean("ready").value_or(false) ? "ready" : "not ready")
-                  << (root.boolean("leaving").value_or(false) ? ", leaving" : "") << ", "
+                  << (root.boolean("leaving").value_or(false) ? ", leaving" : "")
+                  << (root.boolean("in_touch").value_or(true) ? "" : ", cut off from the other nodes") << ", "
                   << root.integer("running").value_or(0) << " running\n";
         const auto services = root.member("services");
         for (const json_view& it :
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -158,7 +158,10 @@
     out.member("ready", is_ready())
         .member("leaving", leaving_)
         .member("running", std::uint64_t{router_.running()});
-    out.member("relay", cluster_.is_relay()).name("nodes").begin_array();
+    out.member("relay", cluster_.is_relay())
+        .member("in_touch", cluster_.nodes().is_in_touch())
+        .name("nodes")
+        .begin_array();
     for (const member& it : cluster_.nodes().all()) {
         out.begin_object().member("name", it.name).member("address", it.address.value());
         out.member("operators", it.operators.value()).member("failure_domain", it.domain.value());
