--- a/packages/core/dispatcher.cpp
+++ b/packages/core/dispatcher.cpp
@@ -54,7 +54,7 @@
     const upstream* b = usable[second];
     if (a->is_shedding(now) != b->is_shedding(now))
         return a->is_shedding(now) ? b->address() : a->address();
-    return a->load() <= b->load() ? a->address() : b->address();
+    return a->load(now) <= b->load(now) ? a->address() : b->address();
 }
 
 std::optional<duration> dispatcher::expected_wait(std::span<const upstream_address> replicas) const {
@@ -106,6 +106,7 @@
         // Withdrawn long after a reply was due: the server, or the connection, may have gone silent.
         if (waited >= server.silence_limit())
             note_failure(server);
+        server.on_outpaced(timers_.now(), waited);
         hooks_.abort(id);
         server.on_finished();
         ++counts_.counter("attempts_aborted");
@@ -128,7 +129,7 @@
     };
     if (result) {
         reached();
-        server.on_reply(now - sent.sent_at, result->server_in_flight);
+        server.on_reply(now, now - sent.sent_at, result->server_in_flight);
         server.mark_live(result->server_incarnation);
         if (result->server_draining)
             note_draining(server.address(), result->server_incarnation);
--- a/packages/core/upstream.cpp
+++ b/packages/core/upstream.cpp
@@ -3,16 +3,19 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace pollengrade {
 
 namespace {
 
-constexpr double smoothing = 0.2;                                     ///< weight of a new sample
-constexpr double window_decrease = 0.7;                               ///< factor on a refusal for load
-constexpr duration min_rest = std::chrono::milliseconds{100};         ///< after the first failed connection
-constexpr duration max_rest = std::chrono::seconds{2};                ///< after many
-constexpr duration min_silence = std::chrono::milliseconds{30};       ///< shorter silences say nothing
+constexpr double smoothing = 0.2;                                ///< weight of a new sample
+constexpr duration estimate_half_life = std::chrono::seconds{4}; ///< of a service time without new samples
+constexpr double least_estimate_us = 50;                         ///< an estimate fades to this
+constexpr double window_decrease = 0.7;                          ///< factor on a refusal for load
+constexpr duration min_rest = std::chrono::milliseconds{100};    ///< after the first failed connection
+constexpr duration max_rest = std::chrono::seconds{2};           ///< after many
+constexpr duration min_silence = std::chrono::milliseconds{30};  ///< shorter silences say nothing
 constexpr duration default_shed_rest = std::chrono::milliseconds{20}; ///< when the server names no time
 constexpr duration max_shed_rest = std::chrono::seconds{1};           ///< a longer wish is shortened to this
 
@@ -29,12 +32,17 @@
     return std::max(min_silence, duration{static_cast<duration::rep>(service_times * service_time_us_)});
 }
 
-double upstream::load() const {
+double upstream::load(time_point now) const {
     const auto own = static_cast<double>(in_flight_ + queue_.size());
     // The report is as old as the last reply: count only what other nodes had there.
     const double others =
         server_in_flight_ > in_flight_ ? static_cast<double>(server_in_flight_ - in_flight_) : 0;
-    return (own + others / 2 + 1) / std::max(1U, limits_.slots) * service_time_us_;
+    // An old estimate fades, or a server that was slow once would never be asked again; one request tells.
+    const double age =
+        static_cast<double>((now - sampled_at_).count()) / static_cast<double>(estimate_half_life.count());
+    const double estimate =
+        own > 0 ? service_time_us_ : std::max(least_estimate_us, service_time_us_ * std::exp2(-age));
+    return (own + others / 2 + 1) / std::max(1U, limits_.slots) * estimate;
 }
 
 void upstream::set_limits(upstream_limits limits) {
@@ -62,7 +70,8 @@
     --in_flight_;
 }
 
-void upstream::on_reply(duration service_time, std::uint32_t server_in_flight) {
+void upstream::on_reply(time_point now, duration service_time, std::uint32_t server_in_flight) {
+    sampled_at_ = now;
     sheds_ = 0;
     service_time_us_ += smoothing * (static_cast<double>(service_time.count()) - service_time_us_);
     server_in_flight_ = server_in_flight;
@@ -70,6 +79,14 @@
     window_ = std::min(most, window_ + 1.0 / window_);
 }
 
+void upstream::on_outpaced(time_point now, duration waited) {
+    const auto least = static_cast<double>(waited.count());
+    if (least < service_time_us_ / 2)
+        return; // Too short to tell.
+    service_time_us_ += smoothing * std::max(0.0, least - service_time_us_);
+    sampled_at_ = now;
+}
+
 void upstream::on_shed(time_point now, duration retry_after) {
     const duration asked = retry_after.count() > 0 ? retry_after : default_shed_rest;
     constexpr std::uint32_t max_doublings = 6;
--- a/packages/core/upstream.h
+++ b/packages/core/upstream.h
@@ -52,7 +52,7 @@
     /** @return time without a reply that counts as a failed exchange. */
     [[nodiscard]] duration silence_limit() const;
     /** @return requests sent and waiting, relative to the slots and weighed by service time. */
-    [[nodiscard]] double load() const;
+    [[nodiscard]] double load(time_point now) const;
 
     /** Changes what the server takes. */
     void set_limits(upstream_limits limits);
@@ -68,7 +68,9 @@
     /** Notes that a request is over, whatever came of it. @pre one is in flight */
     void on_finished();
     /** Notes a reply. @param service_time from sending to reply */
-    void on_reply(duration service_time, std::uint32_t server_in_flight);
+    void on_reply(time_point now, duration service_time, std::uint32_t server_in_flight);
+    /** Notes a request withdrawn without a reply: the server takes at least that long. */
+    void on_outpaced(time_point now, duration waited);
     /** Notes a refusal for load. */
     void on_shed(time_point now, duration retry_after);
     /** Notes a failed connection; the server rests for a growing time. @return whether that is news. */
@@ -100,6 +102,7 @@
     std::uint32_t in_flight_ = 0;        ///< requests sent and not over
     std::deque<attempt_id> queue_;       ///< attempts waiting, oldest first
     double service_time_us_ = 1000;      ///< smoothed time from sending to reply
+    time_point sampled_at_{};            ///< when service_time_us_ was last renewed
     std::uint32_t server_in_flight_ = 0; ///< what the server last reported
     bool draining_ = false;              ///< whether the incarnation is leaving
     std::string incarnation_;            ///< the incarnation last heard of
--- a/tests/core/upstream_test.cpp
+++ b/tests/core/upstream_test.cpp
@@ -50,7 +50,7 @@
     CHECK_FALSE(it.is_shedding(start + std::chrono::milliseconds{20}));
     it.on_shed(start, std::chrono::milliseconds{20});
     CHECK(it.is_shedding(start + std::chrono::milliseconds{39}));
-    it.on_reply(std::chrono::milliseconds{1}, 0);
+    it.on_reply(start, std::chrono::milliseconds{1}, 0);
     it.on_shed(start, std::chrono::milliseconds{20});
     CHECK_FALSE(it.is_shedding(start + std::chrono::milliseconds{20}));
 }
--- a/tests/fuzz/fuzz_inputs.cpp
+++ b/tests/fuzz/fuzz_inputs.cpp
@@ -20,7 +20,7 @@
 /** Reads bytes as a peer's message; a malformed one is an exception of the library, as in a call. */
 void read_peer_message(std::string_view bytes) {
     const std::size_t words = bytes.size() / sizeof(capnp::word);
-    const auto buffer = kj::heapArray<capnp::word>(words);
+    auto buffer = kj::heapArray<capnp::word>(words);
     std::memcpy(buffer.begin(), bytes.data(), words * sizeof(capnp::word));
     kj::runCatchingExceptions([&] {
         capnp::FlatArrayMessageReader reader{buffer};
