Fix: a shard whose servers' queues are full is missing as shed, not as without replica

Cause: a first attempt that found no room was told as no_replica, which points the operator at lost servers. Change: the reason looks at whether a usable server stands; the linter's two findings in the fuzzer's entry; a constant without use is gone. Before: the shard was told as no_replica in both cases.

--- a/packages/core/gather.cpp
+++ b/packages/core/gather.cpp
@@ -91,7 +91,8 @@
     shard_progress& shard = shards_[index];
     shard.started = context_.timers.now();
     if (!send_attempt(index, false)) {
-        settle(index, missing_reason::no_replica);
+        const bool any_usable = context_.servers.expected_wait(shard.entry->replicas).has_value();
+        settle(index, any_usable ? missing_reason::load_shed : missing_reason::no_replica);
         return;
     }
     arm_hedge(index);
--- a/packages/core/idempotency_key.h
+++ b/packages/core/idempotency_key.h
@@ -8,10 +8,9 @@
 
 namespace pollengrade {
 
-/** A key older than this is refused: its claim may have been removed, so a replay could not be told. */
+/** A key older than this is refused: its claim may have been removed (docs/operators/running.md), so a replay
+ * could not be told. */
 inline constexpr std::chrono::hours max_key_age{24};
-/** Claims are kept this long; longer than max_key_age by more than any clock error and deadline. */
-inline constexpr std::chrono::hours claim_retention{48};
 /** A key from further in the future than this is refused. */
 inline constexpr std::chrono::minutes max_key_skew{5};
 
--- a/tests/core/gather_test.cpp
+++ b/tests/core/gather_test.cpp
@@ -205,6 +205,22 @@
     CHECK(it.node.answers()[0].missing[0].reason == missing_reason::tail_cut);
 }
 
+TEST_CASE("a shard whose servers' queues are full is shed, one without any usable server has no replica") {
+    fixture it{"[service]\nname = desk\nmax_deadline_ms = 60000\n[limits]\nslots_per_server = 1000\n"
+               "connections_per_server = 2\nqueue_per_server = 0\n[hedge]\nenabled = no\n"};
+    for (int n = 0; n < 3; ++n)
+        it.node.search(std::chrono::seconds{60});
+    REQUIRE(it.node.answers().size() == 1);
+    CHECK(it.node.answers()[0].result == outcome::refused);
+    CHECK(it.node.answers()[0].missing[0].reason == missing_reason::load_shed);
+    it.reply_all_but(99);
+    it.node.router().servers().note_draining(upstream_address{"127.9.1.1:9000"}, "first");
+    it.node.router().servers().note_draining(upstream_address{"127.9.1.2:9000"}, "first");
+    it.node.search();
+    it.reply_all_but(99);
+    CHECK(it.node.answers().back().missing.at(0).reason == missing_reason::no_replica);
+}
+
 TEST_CASE("a caller that is gone leaves nothing at the servers") {
     fixture it;
     it.node.search();
--- a/tests/fuzz/fuzz_inputs.cpp
+++ b/tests/fuzz/fuzz_inputs.cpp
@@ -32,12 +32,14 @@
 
 } // namespace pollengrade
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name that libFuzzer calls
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     using namespace pollengrade; // NOLINT(google-build-using-namespace): the entry point stands outside
     if (size == 0)
         return 0;
-    const std::string_view text{reinterpret_cast<const char*>(data + 1),
-                                size - 1}; // NOLINT(*-reinterpret-cast)
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): libFuzzer's bytes are our text
+    const auto* bytes = reinterpret_cast<const char*>(data);
+    const std::string_view text{bytes + 1, size - 1};
     switch (data[0] % 6) {
     case 0:
         static_cast<void>(parse_service_document(text));
