--- a/bench/bench_load.cpp
+++ b/bench/bench_load.cpp
@@ -20,6 +20,7 @@
 #include "http/json_view.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
+#include "runtime/program_func.h"
 #include "runtime/random_source.h"
 
 namespace pollengrade {
@@ -266,10 +267,5 @@
 } // namespace pollengrade
 
 int main(int argc, char** argv) {
-    try {
-        return pollengrade::run(argc, argv);
-    } catch (const cxxopts::exceptions::exception& ec) {
-        std::cerr << "bench_load: " << ec.what() << "\n";
-        return EXIT_FAILURE;
-    }
+    return pollengrade::run_program("bench_load", [&] { return pollengrade::run(argc, argv); });
 }
--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -11,6 +11,7 @@
 #include "ctl/command_type.h"
 #include "ctl/document_command.h"
 #include "ctl/node_command.h"
+#include "runtime/program_func.h"
 
 namespace pollengrade {
 
@@ -180,10 +181,6 @@
 } // namespace pollengrade
 
 int main(int argc, char** argv) {
-    try {
-        return static_cast<int>(pollengrade::run(argc, argv));
-    } catch (const cxxopts::exceptions::exception& ec) {
-        std::cerr << "pollengradectl: " << ec.what() << "; see pollengradectl --help\n";
-        return static_cast<int>(pollengrade::exit_code::usage);
-    }
+    return pollengrade::run_program("pollengradectl",
+                                    [&] { return static_cast<int>(pollengrade::run(argc, argv)); });
 }
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -13,13 +13,13 @@
 #include "runtime/glib_ptr.h"
 #include "runtime/logging.h"
 #include "runtime/loop_clock.h"
+#include "runtime/program_func.h"
 #include "runtime/random_source.h"
 
 namespace pollengrade {
 
 namespace {
 
-constexpr int exit_usage = 2;  ///< wrong flags or settings
 constexpr int exit_listen = 3; ///< an address cannot be listened on
 
 /** What a termination signal needs. */
@@ -84,10 +84,5 @@
 } // namespace pollengrade
 
 int main(int argc, char** argv) {
-    try {
-        return pollengrade::run(argc, argv);
-    } catch (const cxxopts::exceptions::exception& ec) {
-        std::cerr << "pollengraded: " << ec.what() << "\n";
-        return pollengrade::exit_usage;
-    }
+    return pollengrade::run_program("pollengraded", [&] { return pollengrade::run(argc, argv); });
 }
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -17,6 +17,7 @@
 #include "http/json_view.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
+#include "runtime/program_func.h"
 
 namespace pollengrade {
 
@@ -316,10 +317,5 @@
 } // namespace pollengrade
 
 int main(int argc, char** argv) {
-    try {
-        return pollengrade::run(argc, argv);
-    } catch (const cxxopts::exceptions::exception& ec) {
-        std::fprintf(stderr, "%s\n", ec.what());
-        return EXIT_FAILURE;
-    }
+    return pollengrade::run_program("standin_platform", [&] { return pollengrade::run(argc, argv); });
 }
--- a/tests/core/order_run_test.cpp
+++ b/tests/core/order_run_test.cpp
@@ -23,13 +23,26 @@
     timers.advance_to(timers.now() + span);
 }
 
-} // namespace
+/** One node of four shards with two servers, on a store whose calls end as drawn. */
+struct order_fixture {
+    explicit order_fixture(std::function<call_fate()> fate) : store{timers, std::move(fate)} {
+        node.configure(order_document, {1}, 4, 2);
+    }
 
-TEST_CASE("an order sent again to the same node with its key is answered from the record") {
     timer_queue timers = paused_clock();
-    fake_claim_store store{timers, [] { return call_fate::answered; }};
+    fake_claim_store store;
     fake_node node{timers, store.hooks(), 1};
-    node.configure(order_document, {1}, 4, 2);
+};
+
+call_fate always_answered() {
+    return call_fate::answered;
+}
+
+} // namespace
+
+TEST_CASE("an order sent again to the same node with its key is answered from the record") {
+    order_fixture it{always_answered};
+    auto& [timers, store, node] = it;
     node.order(fresh_key, 3, long_deadline);
     pass(timers, std::chrono::milliseconds{10});
     REQUIRE(node.open_requests().size() == 1);
@@ -45,10 +58,8 @@
 }
 
 TEST_CASE("an order whose claim cannot be written is refused, and says that only the attempt was not run") {
-    timer_queue timers = paused_clock();
-    fake_claim_store store{timers, [] { return call_fate::refused; }};
-    fake_node node{timers, store.hooks(), 1};
-    node.configure(order_document, {1}, 4, 2);
+    order_fixture it{[] { return call_fate::refused; }};
+    auto& [timers, store, node] = it;
     node.order(fresh_key, 3, long_deadline);
     pass(timers, long_deadline);
     REQUIRE(node.answers().size() == 1);
@@ -74,10 +85,8 @@
 }
 
 TEST_CASE("an order whose server ends the connection is unknown, at once and for every replay") {
-    timer_queue timers = paused_clock();
-    fake_claim_store store{timers, [] { return call_fate::answered; }};
-    fake_node node{timers, store.hooks(), 1};
-    node.configure(order_document, {1}, 4, 2);
+    order_fixture it{always_answered};
+    auto& [timers, store, node] = it;
     node.order(fresh_key, 3, long_deadline);
     pass(timers, std::chrono::milliseconds{10});
     node.fail(node.open_requests().front(), attempt_error::connection_lost);
@@ -92,10 +101,8 @@
 }
 
 TEST_CASE("an order refused by every server is refused, and its key can be used again") {
-    timer_queue timers = paused_clock();
-    fake_claim_store store{timers, [] { return call_fate::answered; }};
-    fake_node node{timers, store.hooks(), 1};
-    node.configure(order_document, {1}, 4, 2);
+    order_fixture it{always_answered};
+    auto& [timers, store, node] = it;
     node.order(fresh_key, 3, long_deadline);
     pass(timers, std::chrono::milliseconds{10});
     node.fail(node.open_requests().front(), attempt_error::shed);
@@ -112,10 +119,8 @@
 }
 
 TEST_CASE("a key used for another order, an old key and a wrong key are errors, and nothing is sent") {
-    timer_queue timers = paused_clock();
-    fake_claim_store store{timers, [] { return call_fate::answered; }};
-    fake_node node{timers, store.hooks(), 1};
-    node.configure(order_document, {1}, 4, 2);
+    order_fixture it{always_answered};
+    auto& [timers, store, node] = it;
     node.order(fresh_key, 3, long_deadline);
     pass(timers, std::chrono::milliseconds{10});
     node.reply(node.open_requests().front());
@@ -133,11 +138,9 @@
 }
 
 TEST_CASE("a stop waits for the record of an order, and ends when the platform stays down") {
-    timer_queue timers = paused_clock();
     int calls = 0;
-    fake_claim_store store{timers, [&] { return calls++ == 0 ? call_fate::answered : call_fate::refused; }};
-    fake_node node{timers, store.hooks(), 1};
-    node.configure(order_document, {1}, 4, 2);
+    order_fixture it{[&] { return calls++ == 0 ? call_fate::answered : call_fate::refused; }};
+    auto& [timers, store, node] = it;
     node.order(fresh_key, 3, long_deadline);
     pass(timers, std::chrono::milliseconds{10});
     bool stopped = false;
@@ -153,10 +156,8 @@
 }
 
 TEST_CASE("an order keeps to its shard map when shards are repartitioned before it is sent again") {
-    timer_queue timers = paused_clock();
-    fake_claim_store store{timers, [] { return call_fate::answered; }};
-    fake_node node{timers, store.hooks(), 1};
-    node.configure(order_document, {1}, 4, 2);
+    order_fixture it{always_answered};
+    auto& [timers, store, node] = it;
     node.order(fresh_key, 3, long_deadline);
     pass(timers, std::chrono::milliseconds{10});
     std::vector<shard_map> maps{{index_version{2}, {{shard_id{0}, {upstream_address{"127.9.9.1:9000"}}}}}};
