--- a/packages/core/membership.cpp
+++ b/packages/core/membership.cpp
@@ -14,11 +14,12 @@
 constexpr duration probe_period = std::chrono::seconds{1};   ///< between two probes by a node
 constexpr duration suspicion_time = std::chrono::seconds{4}; ///< to refute, before a node is given up on
 constexpr duration forget_time = std::chrono::seconds{60};   ///< a dead node's word is kept this long
-constexpr duration rejoin_period = std::chrono::seconds{5};  ///< between two asks of a seed while alone
-constexpr duration touch_time = std::chrono::seconds{10};    ///< silence after which a node counts as cut off
-constexpr std::size_t indirect_probes = 3;                   ///< nodes asked to probe for this one
-constexpr std::size_t leave_notices = 4;                     ///< nodes told first of a graceful stop
-constexpr std::uint32_t spread_factor = 3;                   ///< times log2(nodes) that news is sent
+constexpr duration rejoin_period =
+    std::chrono::seconds{2}; ///< between two tries to reach a lost node or a seed
+constexpr duration touch_time = std::chrono::seconds{10}; ///< silence after which a node counts as cut off
+constexpr std::size_t indirect_probes = 3;                ///< nodes asked to probe for this one
+constexpr std::size_t leave_notices = 4;                  ///< nodes told first of a graceful stop
+constexpr std::uint32_t spread_factor = 3;                ///< times log2(nodes) that news is sent
 
 bool is_live(member_state it) {
     return it == member_state::alive || it == member_state::suspect;
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -14,7 +14,8 @@
 constexpr duration vm_poll_interval = std::chrono::seconds{2}; ///< between two readings of the VM list
 constexpr duration balancer_notice = std::chrono::seconds{2};  ///< until the balancer has seen "not ready"
 
-std::string_view metrics_type = "text/plain; version=0.0.4"; // NOLINT(*-avoid-non-const-global-variables)
+constexpr std::string_view metrics_type =
+    "text/plain; version=0.0.4"; ///< of the text form that scrapers read
 
 } // namespace
 
