--- a/tests/core/order_run_test.cpp
+++ b/tests/core/order_run_test.cpp
@@ -130,8 +130,8 @@
     pass(timers, std::chrono::milliseconds{10});
     REQUIRE(node.answers().size() == 4);
     std::set<refusal_reason> reasons;
-    for (const answer& it : node.answers())
-        reasons.insert(it.reason);
+    for (const answer& reply : node.answers())
+        reasons.insert(reply.reason);
     CHECK(reasons == std::set{refusal_reason::none, refusal_reason::key_reused, refusal_reason::key_expired,
                               refusal_reason::key_malformed});
     CHECK(node.open_requests().empty());
