--- a/bench/bench_load.cpp
+++ b/bench/bench_load.cpp
@@ -15,7 +15,7 @@
 #include <libsoup/soup.h>
 #include <unistd.h>
 
-#include "core/metrics.h"
+#include "core/base/metrics.h"
 #include "http/http_func.h"
 #include "http/json_view.h"
 #include "runtime/glib_ptr.h"
--- a/models/config.pml
+++ b/models/config.pml
@@ -1,6 +1,6 @@
 /*
  * A configuration accepted by the platform reaches every connected node and never reverts. Stands for
- * packages/core/config_store.cpp, config_spread.cpp and packages/daemon/config_feed.cpp.
+ * packages/core/config/config_store.cpp, config_spread.cpp and packages/daemon/config_feed.cpp.
  *
  * Two operators write one document, each conditional on the version it has read. Three nodes: any of them may
  * watch the platform (a relay), push to another, pull from another, lose messages, and restart, with the platform
--- a/models/drain.pml
+++ b/models/drain.pml
@@ -1,6 +1,6 @@
 /*
  * An upstream that is leaving receives no new work, and a graceful stop cuts no request off. Stands for
- * packages/core/upstream.cpp (mark_draining, mark_live), dispatcher.cpp, and packages/daemon/node.cpp (stop).
+ * packages/core/upstreams/upstream.cpp (mark_draining, mark_live), dispatcher.cpp, and packages/daemon/node.cpp (stop).
  *
  * A server of incarnation 1 starts to drain; word of it comes from its own replies, and from a list that lags:
  * the list may say "live" of incarnation 1 after it said "leaving". Later incarnation 2 starts at the address.
--- a/models/gather.pml
+++ b/models/gather.pml
@@ -1,5 +1,5 @@
 /*
- * One snapshot, true coverage, the right caller. Stands for packages/core/gather.cpp and its check of replies,
+ * One snapshot, true coverage, the right caller. Stands for packages/core/queries/gather.cpp and its check of replies,
  * gather::mismatch().
  *
  * Two queries over two shards. Servers move from index version 1 to 2 at any time, one by one, and a query may
--- a/models/order.pml
+++ b/models/order.pml
@@ -1,5 +1,5 @@
 /*
- * An order runs at most once. Stands for packages/core/order_run.cpp and the platform's claim objects.
+ * An order runs at most once. Stands for packages/core/queries/order_run.cpp and the platform's claim objects.
  *
  * Three runs with one idempotency key, on any nodes: each may be killed at any step, paused for any time, and
  * each call to the platform may be answered, refused, lost before or after it takes effect, or take effect at
--- a/packages/core/error_type.cpp
+++ b/packages/core/base/error_type.cpp
@@ -1,5 +1,5 @@
 /** @file error_type.cpp Names of outcomes and errors. */
-#include "core/error_type.h"
+#include "core/base/error_type.h"
 
 #include <array>
 
--- a/packages/core/event_log.cpp
+++ b/packages/core/base/event_log.cpp
@@ -1,5 +1,5 @@
 /** @file event_log.cpp Implementation of the time line. */
-#include "core/event_log.h"
+#include "core/base/event_log.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/core/event_log.h
+++ b/packages/core/base/event_log.h
@@ -9,8 +9,8 @@
 #include <string_view>
 #include <utility>
 
-#include "core/id_type.h"
-#include "core/time_type.h"
+#include "core/base/id_type.h"
+#include "core/base/time_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/id_type.h
+++ b/packages/core/base/id_type.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string>
 
-#include "core/strong_type.h"
+#include "core/base/strong_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/metrics.cpp
+++ b/packages/core/base/metrics.cpp
@@ -1,5 +1,5 @@
 /** @file metrics.cpp Implementation of counters and distributions. */
-#include "core/metrics.h"
+#include "core/base/metrics.h"
 
 #include <cmath>
 
--- a/packages/core/metrics.h
+++ b/packages/core/base/metrics.h
@@ -9,7 +9,7 @@
 
 #include <boost/histogram.hpp>
 
-#include "core/time_type.h"
+#include "core/base/time_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/quantile.h
+++ b/packages/core/base/quantile.h
@@ -1,7 +1,7 @@
 /** @file quantile.h A running estimate of a latency quantile in constant space. */
 #pragma once
 
-#include "core/time_type.h"
+#include "core/base/time_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/timer_queue.cpp
+++ b/packages/core/base/timer_queue.cpp
@@ -1,5 +1,5 @@
 /** @file timer_queue.cpp Implementation of the injected clock. */
-#include "core/timer_queue.h"
+#include "core/base/timer_queue.h"
 
 namespace pollengrade {
 
--- a/packages/core/timer_queue.h
+++ b/packages/core/base/timer_queue.h
@@ -7,8 +7,8 @@
 #include <optional>
 #include <utility>
 
-#include "core/id_type.h"
-#include "core/time_type.h"
+#include "core/base/id_type.h"
+#include "core/base/time_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/config_spread.cpp
+++ b/packages/core/cluster/config_spread.cpp
@@ -1,5 +1,5 @@
 /** @file config_spread.cpp Push on news, pull on difference. */
-#include "core/config_spread.h"
+#include "core/cluster/config_spread.h"
 
 #include <algorithm>
 #include <map>
--- a/packages/core/config_spread.h
+++ b/packages/core/cluster/config_spread.h
@@ -7,9 +7,9 @@
 #include <optional>
 #include <vector>
 
-#include "core/config_store.h"
-#include "core/member_type.h"
-#include "core/metrics.h"
+#include "core/base/metrics.h"
+#include "core/cluster/member_type.h"
+#include "core/config/config_store.h"
 
 namespace pollengrade {
 
--- a/packages/core/membership.cpp
+++ b/packages/core/cluster/membership.cpp
@@ -1,5 +1,5 @@
 /** @file membership.cpp Probes, suspicion and the spread of news. */
-#include "core/membership.h"
+#include "core/cluster/membership.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/core/membership.h
+++ b/packages/core/cluster/membership.h
@@ -9,10 +9,10 @@
 #include <string>
 #include <vector>
 
-#include "core/event_log.h"
-#include "core/member_type.h"
-#include "core/metrics.h"
-#include "core/timer_queue.h"
+#include "core/base/event_log.h"
+#include "core/base/metrics.h"
+#include "core/base/timer_queue.h"
+#include "core/cluster/member_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/rendezvous_func.cpp
+++ b/packages/core/cluster/rendezvous_func.cpp
@@ -1,5 +1,5 @@
 /** @file rendezvous_func.cpp Rendezvous hashing by xxHash. */
-#include "core/rendezvous_func.h"
+#include "core/cluster/rendezvous_func.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/packages/core/rendezvous_func.h
+++ b/packages/core/cluster/rendezvous_func.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "core/id_type.h"
+#include "core/base/id_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/config_store.cpp
+++ b/packages/core/config/config_store.cpp
@@ -1,5 +1,5 @@
 /** @file config_store.cpp The guard on versions. */
-#include "core/config_store.h"
+#include "core/config/config_store.h"
 
 #include <xxhash.h>
 
--- a/packages/core/config_store.h
+++ b/packages/core/config/config_store.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <utility>
 
-#include "core/id_type.h"
+#include "core/base/id_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/ini_document.cpp
+++ b/packages/core/config/ini_document.cpp
@@ -1,5 +1,5 @@
 /** @file ini_document.cpp Parsing and checking of INI texts. */
-#include "core/ini_document.h"
+#include "core/config/ini_document.h"
 
 #include <array>
 #include <cassert>
--- a/packages/core/ini_document.h
+++ b/packages/core/config/ini_document.h
@@ -12,7 +12,7 @@
 
 #include <tl/expected.hpp>
 
-#include "core/settings_type.h"
+#include "core/config/settings_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/node_settings.cpp
+++ b/packages/core/config/node_settings.cpp
@@ -1,9 +1,9 @@
 /** @file node_settings.cpp Keys and checks of a node's settings. */
-#include "core/node_settings.h"
+#include "core/config/node_settings.h"
 
 #include <array>
 
-#include "core/shard_func.h"
+#include "core/upstreams/shard_func.h"
 
 namespace pollengrade {
 
--- a/packages/core/node_settings.h
+++ b/packages/core/config/node_settings.h
@@ -8,8 +8,8 @@
 
 #include <tl/expected.hpp>
 
-#include "core/id_type.h"
-#include "core/ini_document.h"
+#include "core/base/id_type.h"
+#include "core/config/ini_document.h"
 
 namespace pollengrade {
 
--- a/packages/core/service_document.cpp
+++ b/packages/core/config/service_document.cpp
@@ -1,5 +1,5 @@
 /** @file service_document.cpp Keys and checks of service documents. */
-#include "core/service_document.h"
+#include "core/config/service_document.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/core/service_document.h
+++ b/packages/core/config/service_document.h
@@ -10,10 +10,10 @@
 
 #include <tl/expected.hpp>
 
-#include "core/id_type.h"
-#include "core/ini_document.h"
-#include "core/settings_type.h"
-#include "core/time_type.h"
+#include "core/base/id_type.h"
+#include "core/base/time_type.h"
+#include "core/config/ini_document.h"
+#include "core/config/settings_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/answer_type.h
+++ b/packages/core/queries/answer_type.h
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "core/error_type.h"
-#include "core/id_type.h"
-#include "core/shard_type.h"
-#include "core/time_type.h"
+#include "core/base/error_type.h"
+#include "core/base/id_type.h"
+#include "core/base/time_type.h"
+#include "core/upstreams/shard_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/claim_type.h
+++ b/packages/core/queries/claim_type.h
@@ -8,8 +8,8 @@
 
 #include <tl/expected.hpp>
 
-#include "core/id_type.h"
-#include "core/shard_type.h"
+#include "core/base/id_type.h"
+#include "core/upstreams/shard_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/gather.cpp
+++ b/packages/core/queries/gather.cpp
@@ -1,11 +1,11 @@
 /** @file gather.cpp The state machine of one query. */
-#include "core/gather.h"
+#include "core/queries/gather.h"
 
 #include <algorithm>
 #include <cassert>
 #include <utility>
 
-#include "core/shard_func.h"
+#include "core/upstreams/shard_func.h"
 
 namespace pollengrade {
 
--- a/packages/core/gather.h
+++ b/packages/core/queries/gather.h
@@ -7,13 +7,13 @@
 #include <utility>
 #include <vector>
 
-#include "core/answer_type.h"
-#include "core/dispatcher.h"
-#include "core/event_log.h"
-#include "core/metrics.h"
-#include "core/service.h"
-#include "core/shard_type.h"
-#include "core/timer_queue.h"
+#include "core/base/event_log.h"
+#include "core/base/metrics.h"
+#include "core/base/timer_queue.h"
+#include "core/queries/answer_type.h"
+#include "core/queries/service.h"
+#include "core/upstreams/dispatcher.h"
+#include "core/upstreams/shard_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/idempotency_key.cpp
+++ b/packages/core/queries/idempotency_key.cpp
@@ -1,5 +1,5 @@
 /** @file idempotency_key.cpp Reading of UUIDv7 keys. */
-#include "core/idempotency_key.h"
+#include "core/queries/idempotency_key.h"
 
 #include <cctype>
 #include <charconv>
--- a/packages/core/idempotency_key.h
+++ b/packages/core/queries/idempotency_key.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string_view>
 
-#include "core/time_type.h"
+#include "core/base/time_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/order_run.cpp
+++ b/packages/core/queries/order_run.cpp
@@ -1,5 +1,5 @@
 /** @file order_run.cpp The state machine of one order: claim, send, settle. */
-#include "core/order_run.h"
+#include "core/queries/order_run.h"
 
 #include <algorithm>
 #include <array>
@@ -9,8 +9,8 @@
 
 #include <xxhash.h>
 
-#include "core/idempotency_key.h"
-#include "core/shard_func.h"
+#include "core/queries/idempotency_key.h"
+#include "core/upstreams/shard_func.h"
 
 namespace pollengrade {
 
--- a/packages/core/order_run.h
+++ b/packages/core/queries/order_run.h
@@ -8,13 +8,13 @@
 #include <string>
 #include <vector>
 
-#include "core/answer_type.h"
-#include "core/claim_type.h"
-#include "core/dispatcher.h"
-#include "core/event_log.h"
-#include "core/metrics.h"
-#include "core/service.h"
-#include "core/timer_queue.h"
+#include "core/base/event_log.h"
+#include "core/base/metrics.h"
+#include "core/base/timer_queue.h"
+#include "core/queries/answer_type.h"
+#include "core/queries/claim_type.h"
+#include "core/queries/service.h"
+#include "core/upstreams/dispatcher.h"
 
 namespace pollengrade {
 
--- a/packages/core/query_router.cpp
+++ b/packages/core/queries/query_router.cpp
@@ -1,10 +1,10 @@
 /** @file query_router.cpp Admission and the life of requests. */
-#include "core/query_router.h"
+#include "core/queries/query_router.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "core/shard_func.h"
+#include "core/upstreams/shard_func.h"
 
 namespace pollengrade {
 
--- a/packages/core/query_router.h
+++ b/packages/core/queries/query_router.h
@@ -10,14 +10,14 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/answer_type.h"
-#include "core/dispatcher.h"
-#include "core/event_log.h"
-#include "core/gather.h"
-#include "core/metrics.h"
-#include "core/order_run.h"
-#include "core/service.h"
-#include "core/timer_queue.h"
+#include "core/base/event_log.h"
+#include "core/base/metrics.h"
+#include "core/base/timer_queue.h"
+#include "core/queries/answer_type.h"
+#include "core/queries/gather.h"
+#include "core/queries/order_run.h"
+#include "core/queries/service.h"
+#include "core/upstreams/dispatcher.h"
 
 namespace pollengrade {
 
--- a/packages/core/service.cpp
+++ b/packages/core/queries/service.cpp
@@ -1,5 +1,5 @@
 /** @file service.cpp Documents and snapshots in force, and the pin of a snapshot. */
-#include "core/service.h"
+#include "core/queries/service.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/core/service.h
+++ b/packages/core/queries/service.h
@@ -8,12 +8,12 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/dispatcher.h"
-#include "core/id_type.h"
-#include "core/load_budget.h"
-#include "core/quantile.h"
-#include "core/service_document.h"
-#include "core/shard_type.h"
+#include "core/base/id_type.h"
+#include "core/base/quantile.h"
+#include "core/config/service_document.h"
+#include "core/upstreams/dispatcher.h"
+#include "core/upstreams/load_budget.h"
+#include "core/upstreams/shard_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/dispatcher.cpp
+++ b/packages/core/upstreams/dispatcher.cpp
@@ -1,5 +1,5 @@
 /** @file dispatcher.cpp Sending within limits, and what results say of servers. */
-#include "core/dispatcher.h"
+#include "core/upstreams/dispatcher.h"
 
 #include <algorithm>
 #include <cassert>
--- a/packages/core/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -11,12 +11,12 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "core/event_log.h"
-#include "core/id_type.h"
-#include "core/metrics.h"
-#include "core/shard_type.h"
-#include "core/timer_queue.h"
-#include "core/upstream.h"
+#include "core/base/event_log.h"
+#include "core/base/id_type.h"
+#include "core/base/metrics.h"
+#include "core/base/timer_queue.h"
+#include "core/upstreams/shard_type.h"
+#include "core/upstreams/upstream.h"
 
 namespace pollengrade {
 
--- a/packages/core/shard_func.cpp
+++ b/packages/core/upstreams/shard_func.cpp
@@ -1,5 +1,5 @@
 /** @file shard_func.cpp Checks of shard maps, and the merge of rows. */
-#include "core/shard_func.h"
+#include "core/upstreams/shard_func.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/core/shard_func.h
+++ b/packages/core/upstreams/shard_func.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "core/shard_type.h"
+#include "core/upstreams/shard_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/shard_type.h
+++ b/packages/core/upstreams/shard_type.h
@@ -9,9 +9,9 @@
 
 #include <tl/expected.hpp>
 
-#include "core/error_type.h"
-#include "core/id_type.h"
-#include "core/time_type.h"
+#include "core/base/error_type.h"
+#include "core/base/id_type.h"
+#include "core/base/time_type.h"
 
 namespace pollengrade {
 
--- a/packages/core/upstream.cpp
+++ b/packages/core/upstreams/upstream.cpp
@@ -1,5 +1,5 @@
 /** @file upstream.cpp Standing and load of one server. */
-#include "core/upstream.h"
+#include "core/upstreams/upstream.h"
 
 #include <algorithm>
 #include <cassert>
--- a/packages/core/upstream.h
+++ b/packages/core/upstreams/upstream.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <string_view>
 
-#include "core/error_type.h"
-#include "core/id_type.h"
-#include "core/time_type.h"
+#include "core/base/error_type.h"
+#include "core/base/id_type.h"
+#include "core/base/time_type.h"
 
 namespace pollengrade {
 
--- a/packages/ctl/document_command.cpp
+++ b/packages/ctl/document_command.cpp
@@ -12,8 +12,8 @@
 
 #include <glib.h>
 
-#include "core/node_settings.h"
-#include "core/service_document.h"
+#include "core/config/node_settings.h"
+#include "core/config/service_document.h"
 #include "ctl/http_call.h"
 #include "http/codec.h"
 #include "http/http_func.h"
--- a/packages/ctl/document_command.h
+++ b/packages/ctl/document_command.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "core/config_store.h"
+#include "core/config/config_store.h"
 #include "ctl/command_type.h"
 
 namespace pollengrade {
--- a/packages/ctl/node_command.h
+++ b/packages/ctl/node_command.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "core/shard_type.h"
+#include "core/upstreams/shard_type.h"
 #include "ctl/command_type.h"
 
 namespace pollengrade {
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/rendezvous_func.h"
+#include "core/cluster/rendezvous_func.h"
 
 namespace pollengrade {
 
--- a/packages/daemon/cluster.h
+++ b/packages/daemon/cluster.h
@@ -6,12 +6,12 @@
 
 #include <tl/expected.hpp>
 
-#include "core/config_spread.h"
-#include "core/config_store.h"
-#include "core/event_log.h"
-#include "core/membership.h"
-#include "core/metrics.h"
-#include "core/node_settings.h"
+#include "core/base/event_log.h"
+#include "core/base/metrics.h"
+#include "core/cluster/config_spread.h"
+#include "core/cluster/membership.h"
+#include "core/config/config_store.h"
+#include "core/config/node_settings.h"
 #include "daemon/config_feed.h"
 #include "http/platform_client.h"
 #include "peer/kj_loop.h"
--- a/packages/daemon/config_feed.h
+++ b/packages/daemon/config_feed.h
@@ -7,8 +7,8 @@
 #include <functional>
 #include <vector>
 
-#include "core/config_store.h"
-#include "core/timer_queue.h"
+#include "core/base/timer_queue.h"
+#include "core/config/config_store.h"
 #include "http/platform_client.h"
 
 namespace pollengrade {
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -8,7 +8,7 @@
 #include <cxxopts.hpp>
 #include <glib-unix.h>
 
-#include "core/node_settings.h"
+#include "core/config/node_settings.h"
 #include "daemon/node.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/logging.h"
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -7,11 +7,11 @@
 
 #include <tl/expected.hpp>
 
-#include "core/config_store.h"
-#include "core/event_log.h"
-#include "core/metrics.h"
-#include "core/node_settings.h"
-#include "core/query_router.h"
+#include "core/base/event_log.h"
+#include "core/base/metrics.h"
+#include "core/config/config_store.h"
+#include "core/config/node_settings.h"
+#include "core/queries/query_router.h"
 #include "daemon/cluster.h"
 #include "http/caller_server.h"
 #include "http/operator_server.h"
--- a/packages/http/caller_server.cpp
+++ b/packages/http/caller_server.cpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <utility>
 
-#include "core/idempotency_key.h"
+#include "core/queries/idempotency_key.h"
 #include "http/codec.h"
 #include "http/http_func.h"
 #include "http/json_view.h"
--- a/packages/http/caller_server.h
+++ b/packages/http/caller_server.h
@@ -9,7 +9,7 @@
 #include <libsoup/soup.h>
 #include <tl/expected.hpp>
 
-#include "core/query_router.h"
+#include "core/queries/query_router.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
 
--- a/packages/http/codec.h
+++ b/packages/http/codec.h
@@ -8,11 +8,11 @@
 
 #include <tl/expected.hpp>
 
-#include "core/answer_type.h"
-#include "core/claim_type.h"
-#include "core/event_log.h"
-#include "core/shard_func.h"
-#include "core/shard_type.h"
+#include "core/base/event_log.h"
+#include "core/queries/answer_type.h"
+#include "core/queries/claim_type.h"
+#include "core/upstreams/shard_func.h"
+#include "core/upstreams/shard_type.h"
 
 namespace pollengrade {
 
--- a/packages/http/operator_server.h
+++ b/packages/http/operator_server.h
@@ -8,7 +8,7 @@
 #include <libsoup/soup.h>
 #include <tl/expected.hpp>
 
-#include "core/id_type.h"
+#include "core/base/id_type.h"
 #include "http/caller_server.h"
 #include "runtime/glib_ptr.h"
 
--- a/packages/http/platform_client.h
+++ b/packages/http/platform_client.h
@@ -10,10 +10,10 @@
 #include <libsoup/soup.h>
 #include <tl/expected.hpp>
 
-#include "core/claim_type.h"
-#include "core/event_log.h"
-#include "core/id_type.h"
-#include "core/metrics.h"
+#include "core/base/event_log.h"
+#include "core/base/id_type.h"
+#include "core/base/metrics.h"
+#include "core/queries/claim_type.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
 
--- a/packages/http/upstream_client.h
+++ b/packages/http/upstream_client.h
@@ -9,8 +9,8 @@
 
 #include <libsoup/soup.h>
 
-#include "core/id_type.h"
-#include "core/shard_type.h"
+#include "core/base/id_type.h"
+#include "core/upstreams/shard_type.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
 
--- a/packages/peer/peer.capnp
+++ b/packages/peer/peer.capnp
@@ -4,7 +4,7 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("pollengrade::wire");
 
-# One node, as spread among nodes: core/member_type.h.
+# One node, as spread among nodes: core/cluster/member_type.h.
 struct Member {
   address @0 :Text;
   operators @1 :Text;
--- a/packages/peer/peer_client.h
+++ b/packages/peer/peer_client.h
@@ -8,9 +8,9 @@
 
 #include <kj/async.h>
 
-#include "core/config_spread.h"
-#include "core/event_log.h"
-#include "core/membership.h"
+#include "core/base/event_log.h"
+#include "core/cluster/config_spread.h"
+#include "core/cluster/membership.h"
 #include "peer/peer.capnp.h"
 #include "runtime/loop_clock.h"
 
--- a/packages/peer/peer_codec.cpp
+++ b/packages/peer/peer_codec.cpp
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-#include "core/shard_func.h"
+#include "core/upstreams/shard_func.h"
 
 namespace pollengrade {
 
--- a/packages/peer/peer_codec.h
+++ b/packages/peer/peer_codec.h
@@ -4,9 +4,9 @@
 #include <optional>
 #include <vector>
 
-#include "core/config_spread.h"
-#include "core/event_log.h"
-#include "core/member_type.h"
+#include "core/base/event_log.h"
+#include "core/cluster/config_spread.h"
+#include "core/cluster/member_type.h"
 #include "peer/peer.capnp.h"
 
 namespace pollengrade {
--- a/packages/peer/peer_server.h
+++ b/packages/peer/peer_server.h
@@ -8,9 +8,9 @@
 #include <glib.h>
 #include <tl/expected.hpp>
 
-#include "core/config_spread.h"
-#include "core/event_log.h"
-#include "core/membership.h"
+#include "core/base/event_log.h"
+#include "core/cluster/config_spread.h"
+#include "core/cluster/membership.h"
 #include "http/caller_server.h"
 #include "peer/socket_stream.h"
 #include "runtime/loop_clock.h"
--- a/packages/runtime/loop_clock.h
+++ b/packages/runtime/loop_clock.h
@@ -1,7 +1,7 @@
 /** @file loop_clock.h Moves a timer queue with the GLib main loop. */
 #pragma once
 
-#include "core/timer_queue.h"
+#include "core/base/timer_queue.h"
 #include "runtime/glib_ptr.h"
 
 namespace pollengrade {
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -12,7 +12,7 @@
 #include <cxxopts.hpp>
 #include <libsoup/soup.h>
 
-#include "core/id_type.h"
+#include "core/base/id_type.h"
 #include "http/http_func.h"
 #include "http/json_view.h"
 #include "runtime/glib_ptr.h"
--- a/standins/upstream_server.cpp
+++ b/standins/upstream_server.cpp
@@ -9,7 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
-#include "core/id_type.h"
+#include "core/base/id_type.h"
 #include "http/http_func.h"
 #include "http/json_view.h"
 
--- a/tests/core/cluster_logic_test.cpp
+++ b/tests/core/cluster_logic_test.cpp
@@ -8,12 +8,12 @@
 #include <string>
 #include <vector>
 
-#include "core/config_spread.h"
-#include "core/config_store.h"
-#include "core/event_log.h"
-#include "core/membership.h"
-#include "core/metrics.h"
-#include "core/rendezvous_func.h"
+#include "core/base/event_log.h"
+#include "core/base/metrics.h"
+#include "core/cluster/config_spread.h"
+#include "core/cluster/membership.h"
+#include "core/cluster/rendezvous_func.h"
+#include "core/config/config_store.h"
 #include "runtime/random_source.h"
 #include "support/fake_node.h"
 
--- a/tests/core/settings_test.cpp
+++ b/tests/core/settings_test.cpp
@@ -4,8 +4,8 @@
 
 #include <string>
 
-#include "core/node_settings.h"
-#include "core/service_document.h"
+#include "core/config/node_settings.h"
+#include "core/config/service_document.h"
 
 namespace pollengrade {
 
--- a/tests/core/upstream_test.cpp
+++ b/tests/core/upstream_test.cpp
@@ -1,7 +1,7 @@
 /** @file upstream_test.cpp Standing of a server: drain, rest, load. */
 #include <doctest/doctest.h>
 
-#include "core/upstream.h"
+#include "core/upstreams/upstream.h"
 
 namespace pollengrade {
 
--- a/tests/fuzz/fuzz_inputs.cpp
+++ b/tests/fuzz/fuzz_inputs.cpp
@@ -7,9 +7,9 @@
 #include <capnp/serialize.h>
 #include <kj/exception.h>
 
-#include "core/idempotency_key.h"
-#include "core/node_settings.h"
-#include "core/service_document.h"
+#include "core/config/node_settings.h"
+#include "core/config/service_document.h"
+#include "core/queries/idempotency_key.h"
 #include "http/codec.h"
 #include "peer/peer_codec.h"
 
--- a/tests/support/fake_claim_store.h
+++ b/tests/support/fake_claim_store.h
@@ -5,8 +5,8 @@
 #include <functional>
 #include <map>
 
-#include "core/claim_type.h"
-#include "core/timer_queue.h"
+#include "core/base/timer_queue.h"
+#include "core/queries/claim_type.h"
 
 namespace pollengrade {
 
--- a/tests/support/fake_node.h
+++ b/tests/support/fake_node.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "core/query_router.h"
+#include "core/queries/query_router.h"
 #include "support/fake_claim_store.h"
 
 namespace pollengrade {
