--- a/bench/bench_load.cpp
+++ b/bench/bench_load.cpp
@@ -16,12 +16,14 @@
 #include <unistd.h>
 
 #include "core/base/metrics.h"
-#include "http/http_func.h"
-#include "http/json_view.h"
+#include "http/header_names.h"
+#include "http/uri_func.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
 #include "runtime/program_func.h"
 #include "runtime/random_source.h"
+#include "soup/soup_func.h"
+#include "json/json_view.h"
 
 namespace pollengrade {
 
--- a/packages/core/base/error_type.h
+++ b/packages/core/base/error_type.h
@@ -22,6 +22,8 @@
     shed,            ///< the server refused for load before running it
     draining,        ///< the server refused because it is leaving
     version_absent,  ///< the server does not hold the pinned index version
+    wrong_server,    ///< another server has the address now, and did not run it
+    refused,         ///< the server refused to run it, for another reason than load
     connection_lost, ///< the connection ended after the request was sent
     timed_out,       ///< no reply within the attempt's time
     malformed,       ///< the reply could not be read
@@ -70,7 +72,8 @@
 /** @return whether a failure of this kind proves that the server did not run the request. */
 [[nodiscard]] constexpr bool proves_not_run(attempt_error it) {
     return it == attempt_error::not_sent || it == attempt_error::shed || it == attempt_error::draining ||
-           it == attempt_error::version_absent;
+           it == attempt_error::version_absent || it == attempt_error::wrong_server ||
+           it == attempt_error::refused;
 }
 
 /** Number of attempt errors, for arrays indexed by them. */
--- a/packages/core/base/event_log.cpp
+++ b/packages/core/base/event_log.cpp
@@ -1,4 +1,4 @@
-/** @file event_log.cpp Implementation of the time line. */
+/** @file event_log.cpp Implementation of the event log. */
 #include "core/base/event_log.h"
 
 #include <algorithm>
@@ -9,12 +9,24 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(event_kind::count)> kind_names{
-    "node_started",       "node_stopping",        "request_received",   "request_ended",
-    "query_planned",      "query_replanned",      "shard_hedged",       "shard_retried",
-    "order_claimed",      "order_sent",           "order_recorded",     "order_released",
-    "upstream_draining",  "upstream_unreachable", "upstream_reachable", "document_in_force",
-    "shard_map_in_force", "platform_unreachable", "platform_reachable", "member_joined",
-    "member_left"};
+    "node_started",         "node_ready",         "node_stopping",      "node_stopped",
+    "settings_reloaded",    "settings_rejected",  "request_received",   "request_refused",
+    "request_ended",        "request_abandoned",  "query_planned",      "query_replanned",
+    "shard_hedged",         "shard_retried",      "shard_missing",      "attempt_failed",
+    "request_forwarded",    "order_claimed",      "order_sent",         "order_recorded",
+    "order_released",       "upstream_added",     "upstream_removed",   "upstream_draining",
+    "upstream_unreachable", "upstream_reachable", "upstream_suspected", "upstream_cleared",
+    "connection_ended",     "document_in_force",  "shard_map_in_force", "routes_in_force",
+    "routes_rejected",      "registry_replaced",  "entries_unreadable", "platform_unreachable",
+    "platform_reachable",   "member_joined",      "member_left",        "process_suspended",
+    "lines_left_out"};
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(event_key::count)> key_names{
+    "address",     "age_ms",     "attempts",         "cause",   "code",     "connections",    "coverage",
+    "deadline_ms", "domain",     "expected_wait_ms", "from",    "hedges",   "in_flight",      "included",
+    "kind",        "lines",      "missing",          "outcome", "reason",   "retry_after_ms", "revision",
+    "route",       "send_state", "server",           "servers", "service",  "shard",          "started_ms",
+    "state",       "status",     "took_ms",          "version", "waited_ms"};
 
 } // namespace
 
@@ -22,6 +34,10 @@
     return kind_names.at(static_cast<std::size_t>(it));
 }
 
+std::string_view to_string(event_key it) {
+    return key_names.at(static_cast<std::size_t>(it));
+}
+
 event_stamp event_log::stamp() {
     const std::int64_t wall = wall_clock_().time_since_epoch().count();
     if (wall > latest_.wall_ms)
@@ -39,10 +55,12 @@
     latest_ = std::max(latest_, seen);
 }
 
-void event_log::record(event_kind kind, request_id request, std::string_view subject, std::int64_t detail) {
+void event_log::record(event_kind kind, request_id request, std::string_view subject, event_fields fields) {
     if (events_.size() == max_events)
         events_.pop_front();
-    events_.push_back({stamp(), kind, std::move(request), std::string{subject}, detail});
+    events_.push_back({stamp(), kind, std::move(request), std::string{subject}, std::move(fields)});
+    if (sink_)
+        sink_(events_.back());
 }
 
 } // namespace pollengrade
--- /dev/null
+++ b/packages/core/base/message_type.cpp
@@ -0,0 +1,33 @@
+/** @file message_type.cpp Lookup of header lines. */
+#include "core/base/message_type.h"
+
+#include <algorithm>
+
+namespace pollengrade {
+
+namespace {
+
+char to_lower(char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+} // namespace
+
+bool is_same_name(std::string_view a, std::string_view b) {
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](char x, char y) { return to_lower(x) == to_lower(y); });
+}
+
+const message_field* find_field(const message_fields& fields, std::string_view name) {
+    const auto it = std::find_if(fields.begin(), fields.end(), [name](const message_field& field) {
+        return is_same_name(field.name, name);
+    });
+    return it == fields.end() ? nullptr : &*it;
+}
+
+std::string_view value_of(const message_fields& fields, std::string_view name) {
+    const message_field* it = find_field(fields, name);
+    return it == nullptr ? std::string_view{} : std::string_view{it->value};
+}
+
+} // namespace pollengrade
--- a/packages/core/cluster/config_spread.cpp
+++ b/packages/core/cluster/config_spread.cpp
@@ -9,13 +9,13 @@
 
 namespace {
 
-constexpr std::size_t push_fanout = 4;        ///< nodes that each news is pushed on to
 constexpr std::uint32_t max_pull_retries = 3; ///< other peers asked after a lost pull
 
 } // namespace
 
-config_spread::config_spread(config_store& store, metrics& counts, spread_hooks hooks)
-    : store_{store}, counts_{counts}, hooks_{std::move(hooks)} {}
+config_spread::config_spread(config_store& store, metrics& counts, std::size_t push_fanout,
+                             spread_hooks hooks)
+    : store_{store}, counts_{counts}, push_fanout_{push_fanout}, hooks_{std::move(hooks)} {}
 
 void config_spread::take(const std::vector<config_entry>& entries) {
     std::vector<config_entry> news;
@@ -28,7 +28,7 @@
     }
     if (news.empty())
         return;
-    for (const node_address& it : hooks_.draw(push_fanout)) {
+    for (const node_address& it : hooks_.draw(push_fanout_)) {
         ++counts_.counter("config_pushes_sent");
         hooks_.push(it, news);
     }
--- a/packages/core/cluster/config_spread.h
+++ b/packages/core/cluster/config_spread.h
@@ -42,7 +42,13 @@
  */
 class config_spread {
 public:
-    config_spread(config_store& store, metrics& counts, spread_hooks hooks);
+    /**
+     * @param store configuration known
+     * @param counts the counters
+     * @param push_fanout nodes that each news is pushed on to; 0 where every node reads it from the platform
+     * @param hooks the network
+     */
+    config_spread(config_store& store, metrics& counts, std::size_t push_fanout, spread_hooks hooks);
 
     /** Takes objects from the platform or a peer, and pushes on what is news. */
     void take(const std::vector<config_entry>& entries);
@@ -63,6 +69,7 @@
 
     config_store& store_;            ///< configuration known
     metrics& counts_;                ///< the counters
+    std::size_t push_fanout_;        ///< see config_spread()
     spread_hooks hooks_;             ///< the network
     bool complete_ = false;          ///< whether all configuration is held
     bool pulling_ = false;           ///< one pull at a time
--- a/packages/core/cluster/member_type.h
+++ b/packages/core/cluster/member_type.h
@@ -59,6 +59,7 @@
     std::vector<member> updates;     ///< news about others, at most max_updates_per_greeting
     std::uint64_t config_digest = 0; ///< of the sender's configuration
     bool config_complete = false;    ///< whether the sender holds all configuration
+    object_version registry_changed; ///< the latest change of a server's entry that the sender knows
 };
 
 } // namespace pollengrade
--- a/packages/core/cluster/membership.cpp
+++ b/packages/core/cluster/membership.cpp
@@ -152,7 +152,7 @@
     if (was_live == is_live(word.state) && !is_new_life)
         return;
     log_.record(is_live(word.state) ? event_kind::member_joined : event_kind::member_left, {}, word.name,
-                static_cast<std::int64_t>(word.state));
+                {{event_key::address, word.address.value()}, {event_key::state, to_string(word.state)}});
     if (word.state == member_state::dead || word.state == member_state::leaving) {
         timers_.schedule_after(forget_time, [this, address = word.address, life = word.life] {
             const auto known = others_.find(address);
--- /dev/null
+++ b/packages/core/cluster/object_feed.cpp
@@ -0,0 +1,97 @@
+/** @file object_feed.cpp Lists and watches of one kind. */
+#include "core/cluster/object_feed.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr duration first_pause = std::chrono::milliseconds{200}; ///< after the first failed call
+constexpr std::uint32_t max_doublings = 3;                       ///< of the pause: 1.6 s at most
+
+} // namespace
+
+object_feed::object_feed(timer_queue& timers, std::function<std::uint64_t()> random, duration rest,
+                         feed_hooks hooks)
+    : timers_{timers}, random_{std::move(random)}, rest_{rest}, hooks_{std::move(hooks)} {}
+
+void object_feed::start() {
+    advance();
+}
+
+void object_feed::on_duty_changed() {
+    if (listed_)
+        advance();
+}
+
+void object_feed::advance() {
+    if (busy_)
+        return;
+    if (!current_)
+        list();
+    else if (hooks_.is_on_duty())
+        watch();
+}
+
+void object_feed::list() {
+    busy_ = true;
+    hooks_.list([this](const tl::expected<object_list, store_error>& result) {
+        hooks_.reached(result.has_value());
+        if (!result) {
+            retry();
+            return;
+        }
+        busy_ = false;
+        failures_ = 0;
+        last_answer_ = timers_.now();
+        revision_ = result->revision;
+        listed_ = true;
+        current_ = true;
+        hooks_.replaced(*result);
+        advance();
+    });
+}
+
+void object_feed::watch() {
+    busy_ = true;
+    hooks_.watch(revision_, [this](const tl::expected<object_changes, store_error>& result) {
+        const bool is_gone = !result && result.error() == store_error::history_gone;
+        hooks_.reached(result.has_value() || is_gone);
+        if (is_gone) {
+            // Changes were missed: only a list tells what is there now.
+            busy_ = false;
+            current_ = false;
+            advance();
+            return;
+        }
+        if (!result) {
+            retry();
+            return;
+        }
+        failures_ = 0;
+        last_answer_ = timers_.now();
+        revision_ = std::max(revision_, result->revision);
+        if (!result->changes.empty())
+            hooks_.changed(*result);
+        pause(result->changes.empty() ? duration{0} : rest_);
+    });
+}
+
+void object_feed::retry() {
+    const duration most = first_pause * (1U << std::min(failures_, max_doublings));
+    ++failures_;
+    // Drawn, so that nodes do not come back to the store together.
+    const auto drawn = static_cast<duration::rep>(random_() % static_cast<std::uint64_t>(most.count() / 2));
+    pause(most / 2 + duration{drawn});
+}
+
+void object_feed::pause(duration span) {
+    timers_.schedule_after(span, [this] {
+        busy_ = false;
+        advance();
+    });
+}
+
+} // namespace pollengrade
--- a/packages/core/config/config_store.h
+++ b/packages/core/config/config_store.h
@@ -17,12 +17,13 @@
 enum class config_kind : std::uint8_t {
     service_document, ///< the INI text of a service document
     shard_maps,       ///< the JSON text of a service's snapshots
+    routes,           ///< the JSON text of the users' routes
 };
 
 /** Names one configuration object. */
 struct config_key {
     config_kind kind = config_kind::service_document; ///< what it is
-    std::string name;                                 ///< the service
+    std::string name;                                 ///< the service, or the routes' name
 
     friend auto operator<=>(const config_key&, const config_key&) = default;
 };
--- a/packages/core/config/ini_document.cpp
+++ b/packages/core/config/ini_document.cpp
@@ -64,6 +64,15 @@
     return n;
 }
 
+std::optional<double> to_decimal(std::string_view text) {
+    double n = 0;
+    const auto [end, ec] =
+        std::from_chars(text.data(), text.data() + text.size(), n, std::chars_format::fixed);
+    if (ec != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return n;
+}
+
 bool is_choice(std::string_view text, std::string_view choices) {
     while (!choices.empty()) {
         const auto bar = choices.find('|');
@@ -92,6 +101,14 @@
             return settings_error_code::out_of_range;
         break;
     }
+    case key_form::decimal: {
+        const auto n = to_decimal(value);
+        if (!n)
+            return settings_error_code::not_a_number;
+        if (*n < static_cast<double>(rule.least) || *n > static_cast<double>(rule.most))
+            return settings_error_code::out_of_range;
+        break;
+    }
     case key_form::text: {
         const auto size = static_cast<std::int64_t>(value.size());
         if (size < rule.least || size > rule.most)
@@ -107,6 +124,7 @@
     case key_form::choice:
         return "one of " + std::string{rule.choices};
     case key_form::number:
+    case key_form::decimal:
         return range_of(rule) + (rule.unit.empty() ? "" : " " + std::string{rule.unit});
     case key_form::text:
         return range_of(rule) + " bytes";
@@ -229,6 +247,12 @@
     return *n;
 }
 
+double ini_document::decimal(std::string_view group, std::string_view key) const {
+    const auto n = to_decimal(text(group, key));
+    assert(n.has_value());
+    return *n;
+}
+
 std::string describe_rules(std::span<const key_rule> rules) {
     std::string buf = "| group | key | unit | range | default | meaning |\n|---|---|---|---|---|---|\n";
     for (const key_rule& it : rules) {
--- a/packages/core/config/ini_document.h
+++ b/packages/core/config/ini_document.h
@@ -19,7 +19,7 @@
 inline constexpr std::size_t max_settings_bytes = std::size_t{64} * 1024; ///< longest settings text accepted
 
 /** What a key may hold. */
-enum class key_form : std::uint8_t { text, number, choice };
+enum class key_form : std::uint8_t { text, number, decimal, choice };
 
 /** One known key: the single source for checking and for the reference page. */
 struct key_rule {
@@ -51,6 +51,8 @@
     [[nodiscard]] const std::string& text(std::string_view group, std::string_view key) const;
     /** @return the number in a key. @pre the key is a number in the rules given to parse() */
     [[nodiscard]] std::int64_t number(std::string_view group, std::string_view key) const;
+    /** @return the number in a key that may have a fraction. @pre the key is a decimal in the rules */
+    [[nodiscard]] double decimal(std::string_view group, std::string_view key) const;
 
 private:
     std::map<std::pair<std::string, std::string>, std::string, std::less<>> values_; ///< by group and key
--- a/packages/core/config/node_settings.cpp
+++ b/packages/core/config/node_settings.cpp
@@ -9,23 +9,42 @@
 
 namespace {
 
-constexpr std::array<key_rule, 8> rules{{
-    {"node", "name", key_form::text, 1, 63, "", true, "", "", "Name of the node on the time line."},
+constexpr std::array<key_rule, 15> rules{{
+    {"node", "name", key_form::text, 1, 63, "", true, "", "",
+     "Name of the node in logs and on the time line."},
+    {"node", "interface", key_form::choice, 0, 0, "documents", false, "documents|routes", "",
+     "What callers are served with: our own interface driven by service documents, or forwarding by routes."},
     {"node", "callers", key_form::text, 9, 21, "", true, "", "", "IPv4:port where callers are served."},
+    {"node", "readiness", key_form::text, 0, 21, "", false, "", "",
+     "IPv4:port where the balancer asks whether this node wants traffic; needed with interface = routes."},
     {"node", "operators", key_form::text, 9, 21, "", true, "", "",
      "IPv4:port of metrics, health, status and time line."},
     {"node", "peers", key_form::text, 9, 21, "", true, "", "", "IPv4:port where other nodes are served."},
     {"node", "failure_domain", key_form::text, 1, 63, "", true, "", "", "Failure domain of the VM."},
+    {"node", "grace_s", key_form::decimal, 1, 600, "10", false, "", "s",
+     "Longest time from the signal to stop to the process's end."},
     {"node", "debug", key_form::text, 0, 200, "", false, "", "",
      "Subsystems whose debug lines are shown, separated by commas, or all."},
     {"platform", "address", key_form::text, 9, 21, "", true, "", "",
      "IPv4:port of the platform's object API."},
     {"cluster", "seeds", key_form::text, 0, 4096, "", false, "", "",
      "IPv4:port of some other nodes, separated by commas."},
+    {"cluster", "peer_port", key_form::number, 0, 65535, "0", false, "", "",
+     "Port of peers at the seeds, in place of those given there; 0 keeps those."},
+    {"retries", "ratio", key_form::decimal, 0, 10, "0.2", false, "", "requests",
+     "With interface = routes: hedges and retries of all nodes together for each needed request."},
+    {"retries", "slack", key_form::number, 0, 1000000, "20", false, "", "requests",
+     "With interface = routes: hedges and retries of all nodes together in a window besides."},
+    {"retries", "window_s", key_form::decimal, 1, 3600, "10", false, "", "s",
+     "Window over which ratio and slack are counted."},
 }};
 
-/** Appends the addresses in a list separated by commas. @return false when one is not an address. */
-bool split_addresses(std::string_view text, std::vector<node_address>& addresses) {
+/**
+ * Appends the addresses in a list separated by commas.
+ * @param port in place of those in the list; 0 to keep them
+ * @return false when one is not an address
+ */
+bool split_addresses(std::string_view text, std::uint32_t port, std::vector<node_address>& addresses) {
     while (!text.empty()) {
         const auto comma = text.find(',');
         std::string_view it = text.substr(0, comma);
@@ -33,12 +52,19 @@
             it.remove_prefix(1);
         if (!is_address(it))
             return false;
-        addresses.emplace_back(std::string{it});
+        if (port == 0)
+            addresses.emplace_back(std::string{it});
+        else
+            addresses.emplace_back(std::string{it.substr(0, it.find(':') + 1)} + std::to_string(port));
         text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
     }
     return true;
 }
 
+duration seconds_of(const ini_document& ini, std::string_view group, std::string_view key) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>{ini.decimal(group, key)});
+}
+
 } // namespace
 
 std::span<const key_rule> node_settings_rules() {
@@ -66,10 +92,19 @@
     it.domain = failure_domain{ini->text("node", "failure_domain")};
     it.debug = ini->text("node", "debug");
     it.platform = address("platform", "address");
-    if (!split_addresses(ini->text("cluster", "seeds"), it.seeds)) {
+    it.form = ini->text("node", "interface") == "routes" ? interface_form::routes : interface_form::documents;
+    if (it.form == interface_form::routes)
+        it.readiness = address("node", "readiness");
+    it.grace = seconds_of(*ini, "node", "grace_s");
+    it.budget.ratio = ini->decimal("retries", "ratio");
+    it.budget.slack = static_cast<double>(ini->number("retries", "slack"));
+    it.budget.window = seconds_of(*ini, "retries", "window_s");
+    const auto peer_port = static_cast<std::uint32_t>(ini->number("cluster", "peer_port"));
+    if (!split_addresses(ini->text("cluster", "seeds"), peer_port, it.seeds)) {
         errors.push_back(
             {settings_error_code::not_a_choice, "cluster", "seeds", 0, "IPv4:port, separated by commas"});
     }
+    std::erase(it.seeds, it.peers); // A node is no seed of its own.
     if (!errors.empty())
         return tl::unexpected{std::move(errors)};
     return it;
--- a/packages/core/queries/claim_type.h
+++ b/packages/core/queries/claim_type.h
@@ -9,6 +9,7 @@
 #include <tl/expected.hpp>
 
 #include "core/base/id_type.h"
+#include "core/config/object_type.h"
 #include "core/upstreams/shard_type.h"
 
 namespace pollengrade {
@@ -37,15 +38,6 @@
     object_version version; ///< its version
 };
 
-/** How a call to the platform failed. */
-enum class store_error : std::uint8_t {
-    conflict,    ///< the object is at another version; nothing was changed
-    absent,      ///< there is no such object
-    reply_lost,  ///< the call may have taken effect
-    unavailable, ///< the platform refused or was not reached; nothing was changed
-    malformed,   ///< the object is not a claim
-};
-
 using store_result = tl::expected<stored_claim, store_error>;
 using store_done = std::function<void(store_result)>;
 /** A claim's name in the platform. */
--- /dev/null
+++ b/packages/core/queries/forward_run.cpp
@@ -0,0 +1,135 @@
+/** @file forward_run.cpp Plans, parts and answers of forwarded requests. */
+#include "core/queries/forward_run.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "core/queries/record_merge.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr duration deadline_margin = std::chrono::milliseconds{5}; ///< left for the answer's way back
+constexpr duration target_margin =
+    std::chrono::milliseconds{7}; ///< of the target, spent on both ways to the caller
+constexpr duration refused_retry_after = std::chrono::milliseconds{50}; ///< told when every server refused
+constexpr unsigned least_server_error = 500;
+constexpr unsigned success_class = 2;
+
+bool is_success(unsigned status) {
+    return status / 100 == success_class;
+}
+
+} // namespace
+
+std::size_t least_shards(double share, std::size_t count) {
+    constexpr double rounding = 1e-9; // A share written as 0.9 of 10 is 9, not 10.
+    const double wanted = std::ceil(share * static_cast<double>(count) - rounding);
+    return std::max<std::size_t>(1, static_cast<std::size_t>(std::max(0.0, wanted)));
+}
+
+forward_run::forward_run(run_context context, forward_order order, forward_hook finish)
+    : context_{context}, order_{std::move(order)}, finish_{std::move(finish)} {
+    gather_hooks hooks;
+    hooks.content = [this](std::size_t) { return order_.request; };
+    hooks.take = [this](std::size_t, attempt_reply& reply) { return take(reply); };
+    hooks.finished = [this] { this->finish(); };
+    gather_ = std::make_unique<gather>(context_, make_plan(), std::move(hooks));
+}
+
+gather_plan forward_run::make_plan() const {
+    const route& via = *order_.via;
+    gather_plan plan;
+    plan.request = order_.request->id;
+    plan.targets = order_.targets;
+    plan.work = work_class{via.name};
+    plan.deadline = order_.deadline - deadline_margin;
+    if (via.target > target_margin)
+        plan.cut = order_.arrived + via.target - target_margin;
+    plan.least = via.is_gather() ? least_shards(via.least_share, via.shards.size()) : 1;
+    plan.enough = plan.least;
+    plan.max_attempts = via.max_attempts;
+    plan.priority = via.priority;
+    plan.is_idempotent = via.is_idempotent;
+    plan.hedges = via.is_idempotent;
+    return plan;
+}
+
+void forward_run::start() {
+    gather_->start();
+}
+
+void forward_run::abandon() {
+    if (std::exchange(finished_, true))
+        return;
+    gather_->abandon(withdrawal::caller_gone);
+}
+
+std::optional<attempt_error> forward_run::take(attempt_reply& reply) {
+    auto* forwarded = std::get_if<forwarded_reply>(&reply);
+    if (forwarded == nullptr)
+        return attempt_error::malformed;
+    if (order_.via->is_gather())
+        return take_part(*forwarded);
+    const bool is_failure = forwarded->message.status >= least_server_error;
+    reply_ = std::move(*forwarded);
+    if (is_failure && order_.via->is_idempotent)
+        return attempt_error::server_error;
+    return std::nullopt;
+}
+
+std::optional<attempt_error> forward_run::take_part(forwarded_reply& reply) {
+    if (!is_success(reply.message.status))
+        return attempt_error::server_error;
+    const bool is_twice =
+        std::find(signatures_.begin(), signatures_.end(), reply.signature) != signatures_.end();
+    if (reply.signature.empty() || is_twice)
+        return attempt_error::malformed;
+    signatures_.push_back(std::move(reply.signature));
+    bodies_.push_back(std::move(reply.message.body));
+    return std::nullopt;
+}
+
+void forward_run::finish() {
+    if (std::exchange(finished_, true))
+        return;
+    finish_(order_.via->is_gather() ? answer_of_all() : answer_of_one());
+}
+
+forward_answer forward_run::answer_of_one() {
+    if (reply_)
+        return passed_answer{std::move(reply_->message)};
+    return answer_without_reply();
+}
+
+forward_answer forward_run::answer_of_all() {
+    const route& via = *order_.via;
+    if (signatures_.size() < least_shards(via.least_share, via.shards.size()))
+        return answer_without_reply();
+    gathered_answer it;
+    it.missing = via.shards.size() - signatures_.size();
+    it.signatures = std::move(signatures_);
+    it.records = merge_records(bodies_, via.max_records);
+    return it;
+}
+
+forward_answer forward_run::answer_without_reply() const {
+    const bool is_late = context_.timers.now() >= order_.deadline - deadline_margin;
+    if (!gather_->may_have_run()) {
+        if (is_late)
+            return refused_answer{forward_refusal::no_time, refused_retry_after};
+        const bool was_shed =
+            std::any_of(gather_->shards().begin(), gather_->shards().end(),
+                        [](const shard_progress& it) { return it.last_error == attempt_error::shed; });
+        return refused_answer{was_shed ? forward_refusal::refused_by_all : forward_refusal::no_server,
+                              refused_retry_after};
+    }
+    if (is_late)
+        return failed_answer{forward_failure::timed_out};
+    return failed_answer{order_.via->is_gather() ? forward_failure::too_few_parts
+                                                 : forward_failure::connection_lost};
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/core/queries/forwarder.cpp
@@ -0,0 +1,175 @@
+/** @file forwarder.cpp Routing, admission and the life of forwarded requests. */
+#include "core/queries/forwarder.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/queries/admission.h"
+#include "core/upstreams/server_pool.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr duration not_configured_retry_after = std::chrono::seconds{1}; ///< routes are being read
+constexpr duration least_time = std::chrono::milliseconds{6};            ///< less is over before any reply
+
+/** What an answer is called in logs and metrics. */
+struct answer_names {
+    std::string_view outcome;
+    std::string_view reason;
+};
+
+answer_names names_of(const forward_answer& it) {
+    if (const auto* refused = std::get_if<refused_answer>(&it))
+        return {"refused", to_string(refused->reason)};
+    if (const auto* failed = std::get_if<failed_answer>(&it))
+        return {"failed", to_string(failed->reason)};
+    if (std::holds_alternative<unroutable_answer>(it))
+        return {"unroutable", ""};
+    if (const auto* gathered = std::get_if<gathered_answer>(&it))
+        return {gathered->missing == 0 ? "answered" : "partial", ""};
+    return {"answered", ""};
+}
+
+} // namespace
+
+forwarder::forwarder(run_context context, load_budget_limits budget) : context_{context}, budget_{budget} {}
+
+load_budget& forwarder::budget_of(const service_name& service) {
+    return budgets_.try_emplace(service, budget_).first->second;
+}
+
+void forwarder::set_budget(load_budget_limits budget) {
+    budget_ = budget;
+    for (auto& [name, it] : budgets_)
+        it.set_limits(budget);
+}
+
+bool forwarder::apply(route_table_ptr table) {
+    if (table_ && table->version() <= table_->version())
+        return false;
+    table_ = std::move(table);
+    context_.log.record(
+        event_kind::routes_in_force, {}, {},
+        {{event_key::version, table_->version().value()}, {event_key::route, table_->routes().size()}});
+    return true;
+}
+
+forward_order forwarder::make_order(std::shared_ptr<const forwarded_request> request, const route& via) {
+    forward_order order;
+    order.request = std::move(request);
+    order.table = table_;
+    order.via = &via;
+    order.arrived = context_.timers.now();
+    order.deadline = order.arrived + std::min(order.request->time_left.value_or(via.timeout), via.timeout);
+    if (via.is_gather()) {
+        for (const service_name& it : via.shards)
+            order.targets.push_back({set_of(it), &budget_of(it)});
+    } else {
+        const service_name& chosen = split_.next(via.name, via.destinations);
+        order.targets.push_back({set_of(chosen), &budget_of(chosen)});
+    }
+    return order;
+}
+
+run_id forwarder::submit(std::shared_ptr<const forwarded_request> request, forward_hook respond) {
+    const run_id id{next_run_++};
+    ++context_.counts.counter("requests");
+    if (!table_) {
+        ++context_.counts.counter("refusals", to_string(forward_refusal::not_configured));
+        respond(refused_answer{forward_refusal::not_configured, not_configured_retry_after});
+        return id;
+    }
+    const route* via = table_->find(request->host, request->path);
+    if (via == nullptr) {
+        ++context_.counts.counter("answers", "unroutable");
+        context_.log.record(
+            event_kind::request_refused, request->id, request->path,
+            {{event_key::reason, "no_route"}, {event_key::version, table_->version().value()}});
+        respond(unroutable_answer{});
+        return id;
+    }
+    forward_order order = make_order(std::move(request), *via);
+    admission_inputs inputs;
+    std::vector<replica_set_name> sets;
+    for (const gather_target& it : order.targets)
+        sets.push_back(it.set);
+    inputs.sets = sets;
+    inputs.least = via->is_gather() ? least_shards(via->least_share, via->shards.size()) : 1;
+    inputs.work = work_class{via->name};
+    inputs.time_left = order.deadline - order.arrived;
+    auto refused = inputs.time_left < least_time
+                       ? std::optional{refused_answer{forward_refusal::no_time, duration{0}}}
+                       : refuse_early(context_.servers, inputs);
+    if (refused) {
+        note_answer(order, *refused, 0);
+        respond(*refused);
+        return id;
+    }
+    auto finish_hook = [this, id, respond = std::move(respond)](forward_answer answer) {
+        finish(id, answer);
+        respond(std::move(answer));
+    };
+    auto& run = runs_[id];
+    run = std::make_unique<forward_run>(context_, std::move(order), std::move(finish_hook));
+    run->start();
+    return id;
+}
+
+void forwarder::finish(run_id id, const forward_answer& answer) {
+    const forward_run& run = *runs_.at(id);
+    note_answer(run.order(), answer, run.fan_out().hedges());
+    // The run is still on the call stack: it is destroyed by the next turn of the loop.
+    context_.timers.schedule_after(duration{0}, [this, id] {
+        runs_.erase(id);
+        if (runs_.empty() && idle_)
+            idle_();
+    });
+}
+
+void forwarder::note_answer(const forward_order& order, const forward_answer& answer, std::uint32_t hedges) {
+    const answer_names names = names_of(answer);
+    const duration took = context_.timers.now() - order.arrived;
+    ++context_.counts.counter("answers", names.outcome);
+    if (!names.reason.empty())
+        ++context_.counts.counter("refusals", names.reason);
+    context_.counts.distribution("request_latency").add(took);
+    event_fields fields{{event_key::outcome, names.outcome},
+                        {event_key::route, order.via->name},
+                        {event_key::version, order.table->version().value()},
+                        {event_key::deadline_ms, order.deadline - order.arrived},
+                        {event_key::took_ms, took}};
+    if (!names.reason.empty())
+        fields.emplace_back(event_key::reason, names.reason);
+    if (hedges > 0)
+        fields.emplace_back(event_key::hedges, hedges);
+    if (const auto* refused = std::get_if<refused_answer>(&answer))
+        fields.emplace_back(event_key::retry_after_ms, refused->retry_after);
+    if (const auto* gathered = std::get_if<gathered_answer>(&answer)) {
+        fields.emplace_back(event_key::included, gathered->signatures.size());
+        fields.emplace_back(event_key::missing, gathered->missing);
+    }
+    if (const auto* passed = std::get_if<passed_answer>(&answer))
+        fields.emplace_back(event_key::status, passed->message.status);
+    context_.log.record(event_kind::request_ended, order.request->id, {}, std::move(fields));
+}
+
+void forwarder::abandon(run_id id) {
+    const auto it = runs_.find(id);
+    if (it == runs_.end())
+        return;
+    ++context_.counts.counter("requests_abandoned");
+    context_.log.record(event_kind::request_abandoned, it->second->order().request->id, {},
+                        {{event_key::took_ms, context_.timers.now() - it->second->order().arrived}});
+    it->second->abandon();
+    context_.timers.schedule_after(duration{0}, [this, id] {
+        runs_.erase(id);
+        if (runs_.empty() && idle_)
+            idle_();
+    });
+}
+
+} // namespace pollengrade
--- a/packages/core/queries/order_run.cpp
+++ b/packages/core/queries/order_run.cpp
@@ -113,6 +113,7 @@
     case store_error::conflict:
     case store_error::absent:
     case store_error::malformed:
+    case store_error::history_gone:
         read_claim();
         break;
     case store_error::reply_lost:
@@ -152,6 +153,7 @@
         case store_error::conflict:
         case store_error::reply_lost:
         case store_error::unavailable:
+        case store_error::history_gone:
             retry_claiming([this] { read_claim(); });
             break;
         }
@@ -232,7 +234,7 @@
     case stage::sending: {
         assert(live_);
         const bool sent = context_.servers.was_sent(*live_);
-        context_.servers.withdraw(*std::exchange(live_, std::nullopt));
+        context_.servers.withdraw(*std::exchange(live_, std::nullopt), withdrawal::superseded);
         if (sent) {
             reply(blank(outcome::unknown));
             record(claim_state::unknown);
@@ -257,44 +259,54 @@
         return;
     }
     const shard_entry& shard = shard_of_number(*map_, request_.query->number);
-    const auto server = context_.servers.pick(shard.replicas, tried_, false);
-    if (!server) {
+    const replica_set_name set = service::set_of(shard);
+    const outlook found = context_.servers.outlook_of(set, tried_, placement_purpose::plain);
+    if (found == outlook::none || found == outlook::full) {
         refuse(refusal_reason::upstream_refused, upstream_retry_after);
         release();
         return;
     }
     stage_ = stage::sending;
-    tried_.push_back(*server);
-    context_.log.record(event_kind::order_sent, request_.id, server->value());
+    context_.log.record(event_kind::order_sent, request_.id, set.value(),
+                        {{event_key::attempts, tried_.size() + 1}});
     ++context_.counts.counter("orders_sent");
-    attempt_request attempt{*server,       request_.service, request_.id,   shard.id,
-                            map_->version, deadline_,        request_.query};
-    live_ = context_.servers.submit(
-        std::move(attempt), [this](attempt_id id, attempt_result it) { on_sent_result(id, std::move(it)); });
+    attempt_request attempt;
+    attempt.set = set;
+    attempt.work = work_class{request_.service.value() + " order"};
+    attempt.request = request_.id;
+    attempt.deadline = deadline_;
+    attempt.purpose = placement_purpose::plain;
+    attempt.excluded = tried_;
+    attempt.content = index_request{request_.service, shard.id, map_->version, request_.query};
+    live_ =
+        context_.servers.submit(std::move(attempt), [this](const attempt_end& it) { on_sent_result(it); });
 }
 
-void order_run::on_sent_result(attempt_id id, attempt_result result) {
-    if (live_ != id)
+void order_run::on_sent_result(const attempt_end& end) {
+    if (live_ != end.id)
         return;
     live_.reset();
     const shard_entry& shard = shard_of_number(*map_, request_.query->number);
-    if (!result && proves_not_run(result.error().code)) {
+    if (!end.result && proves_not_run(end.result.error().code)) {
+        if (!end.server.value().empty())
+            tried_.push_back(end.server);
         send();
         return;
     }
-    const bool is_ours = result && result->request == request_.id && result->shard == shard.id &&
-                         result->version == map_->version;
+    const auto* reply_in = end.result ? std::get_if<shard_reply>(&*end.result) : nullptr;
+    const bool is_ours = reply_in != nullptr && reply_in->request == request_.id &&
+                         reply_in->shard == shard.id && reply_in->version == map_->version;
     if (!is_ours) {
         reply(blank(outcome::unknown));
         record(claim_state::unknown);
         return;
     }
-    claim_.version = result->version;
+    claim_.version = reply_in->version;
     claim_.shard = shard.id;
-    claim_.rows = result->rows;
+    claim_.rows = reply_in->rows;
     answer it = blank(outcome::answered);
-    it.version = result->version;
-    it.rows = std::move(result->rows);
+    it.version = reply_in->version;
+    it.rows = reply_in->rows;
     it.included.push_back(shard.id);
     reply(std::move(it));
     record(claim_state::answered);
@@ -344,6 +356,7 @@
         break;
     case store_error::reply_lost:
     case store_error::unavailable:
+    case store_error::history_gone:
         retry_claiming([this] { settle_claim(); });
         break;
     case store_error::absent:
--- a/packages/core/queries/order_run.h
+++ b/packages/core/queries/order_run.h
@@ -75,7 +75,7 @@
     void on_deadline();
 
     void send();
-    void on_sent_result(attempt_id id, attempt_result result);
+    void on_sent_result(const attempt_end& end);
 
     void record(claim_state state);
     void release();
@@ -104,7 +104,7 @@
     bool platform_call_ = false;             ///< whether a call to the platform is outstanding
     std::uint32_t pauses_ = 0;               ///< pauses made, for growing ones
     std::uint32_t settle_tries_ = 0;         ///< writes tried while settling
-    std::vector<upstream_address> tried_;    ///< servers that proved not to have run the order
+    std::vector<upstream_id> tried_;         ///< servers that proved not to have run the order
     std::optional<attempt_id> live_;         ///< the attempt waiting or in flight
     shard_map_ptr map_;                      ///< the snapshot that names the servers
     std::optional<timer_id> deadline_timer_; ///< see on_deadline()
--- a/packages/core/queries/query_router.cpp
+++ b/packages/core/queries/query_router.cpp
@@ -16,9 +16,7 @@
 
 } // namespace
 
-query_router::query_router(router_parts parts)
-    : parts_{std::move(parts)}, servers_{parts_.timers, parts_.log, parts_.counts, parts_.random,
-                                         parts_.transport} {}
+query_router::query_router(router_parts parts) : parts_{std::move(parts)} {}
 
 run_id query_router::submit(caller_request request, answer_hook respond) {
     const run_id id{next_run_++};
@@ -53,7 +51,7 @@
     if (request.query->kind == query_kind::order)
         run_order(owner, std::move(request), deadline, id, std::move(respond));
     else
-        run_gather(owner, std::move(request), deadline, id, std::move(respond));
+        run_search(owner, std::move(request), deadline, id, std::move(respond));
     return id;
 }
 
@@ -77,7 +75,8 @@
         return std::nullopt;
     const duration left = deadline - parts_.timers.now();
     const auto wait_of = [&](const shard_entry& it) {
-        return servers_.expected_wait(it.replicas).value_or(duration{0});
+        return parts_.servers.expected_wait(service::set_of(it), work_class{owner.document().name.value()})
+            .value_or(duration{0});
     };
     duration longest{0};
     if (query.kind == query_kind::search) {
@@ -91,7 +90,7 @@
     return longest - left;
 }
 
-void query_router::run_gather(service& owner, caller_request request, time_point deadline, run_id id,
+void query_router::run_search(service& owner, caller_request request, time_point deadline, run_id id,
                               answer_hook respond) {
     const time_point started = parts_.timers.now();
     auto finish = [this, id, started, respond = std::move(respond)](answer reply) {
@@ -99,9 +98,9 @@
         respond(std::move(reply));
         end_run(id);
     };
-    const gather_context context{parts_.timers, servers_, parts_.log, parts_.counts};
-    auto& run = gathers_[id];
-    run = std::make_unique<gather>(context, owner, std::move(request), deadline, std::move(finish));
+    const run_context context{parts_.timers, parts_.servers, parts_.log, parts_.counts};
+    auto& run = searches_[id];
+    run = std::make_unique<search_run>(context, owner, std::move(request), deadline, std::move(finish));
     run->start();
 }
 
@@ -112,7 +111,7 @@
         count_answer(reply, started);
         respond(std::move(reply));
     };
-    const order_context context{parts_.timers, servers_,          parts_.log,   parts_.counts,
+    const order_context context{parts_.timers, parts_.servers,    parts_.log,   parts_.counts,
                                 parts_.random, parts_.wall_clock, parts_.claims};
     auto& run = orders_[id];
     run = std::make_unique<order_run>(context, owner, std::move(request), deadline, std::move(finish),
@@ -123,7 +122,7 @@
 void query_router::end_run(run_id id) {
     // The run is still on the call stack: it is destroyed by the next turn of the loop.
     parts_.timers.schedule_after(duration{0}, [this, id] {
-        gathers_.erase(id);
+        searches_.erase(id);
         orders_.erase(id);
         if (stopping_ && running() == 0 && stopped_)
             std::exchange(stopped_, nullptr)();
@@ -138,13 +137,18 @@
     parts_.counts.counter("shards_included") += reply.included.size();
     for (const missing_shard& it : reply.missing)
         ++parts_.counts.counter("shards_missing", to_string(it.reason));
-    parts_.log.record(event_kind::request_ended, reply.id, to_string(reply.result),
-                      static_cast<std::int64_t>(reply.missing.size()));
+    parts_.log.record(event_kind::request_ended, reply.id, {},
+                      {{event_key::outcome, to_string(reply.result)},
+                       {event_key::reason, to_string(reply.reason)},
+                       {event_key::included, reply.included.size()},
+                       {event_key::missing, reply.missing.size()},
+                       {event_key::version, reply.version.value()},
+                       {event_key::took_ms, parts_.timers.now() - started}});
 }
 
 void query_router::abandon(run_id id) {
-    const auto it = gathers_.find(id);
-    if (it == gathers_.end() || it->second->is_finished())
+    const auto it = searches_.find(id);
+    if (it == searches_.end() || it->second->is_finished())
         return;
     ++parts_.counts.counter("requests_abandoned");
     it->second->abandon();
@@ -156,7 +160,7 @@
     auto it = services_.find(name);
     bool in_force = false;
     if (it == services_.end()) {
-        it = services_.try_emplace(name, std::move(document), version, servers_, parts_.holders).first;
+        it = services_.try_emplace(name, std::move(document), version, parts_.servers, parts_.holders).first;
         in_force = true;
         if (auto early = early_.extract(name))
             apply_snapshots(name, std::move(early.mapped().maps), early.mapped().version);
@@ -165,7 +169,7 @@
     }
     if (in_force) {
         parts_.log.record(event_kind::document_in_force, {}, name.value(),
-                          static_cast<std::int64_t>(version.value()));
+                          {{event_key::version, version.value()}});
     }
     return in_force;
 }
@@ -183,7 +187,7 @@
     if (!it->second.apply_snapshots(std::move(maps), version))
         return false;
     parts_.log.record(event_kind::shard_map_in_force, {}, name.value(),
-                      static_cast<std::int64_t>(version.value()));
+                      {{event_key::version, version.value()}});
     return true;
 }
 
@@ -196,7 +200,7 @@
 void query_router::stop(std::function<void()> done) {
     stopping_ = true;
     stopped_ = std::move(done);
-    parts_.log.record(event_kind::node_stopping, {}, {}, static_cast<std::int64_t>(running()));
+    parts_.log.record(event_kind::node_stopping, {}, {}, {{event_key::in_flight, running()}});
     if (running() == 0)
         end_run(run_id{});
 }
--- a/packages/core/queries/query_router.h
+++ b/packages/core/queries/query_router.h
@@ -14,8 +14,9 @@
 #include "core/base/metrics.h"
 #include "core/base/timer_queue.h"
 #include "core/queries/answer_type.h"
-#include "core/queries/gather.h"
 #include "core/queries/order_run.h"
+#include "core/queries/run_id.h"
+#include "core/queries/search_run.h"
 #include "core/queries/service.h"
 #include "core/upstreams/dispatcher.h"
 
@@ -23,19 +24,16 @@
 
 /** What a query router is built from. */
 struct router_parts {
+    dispatcher& servers;                   ///< sends attempts; outlives the router
     timer_queue& timers;                   ///< the clock
     event_log& log;                        ///< the time line
     metrics& counts;                       ///< the counters
     std::function<std::uint64_t()> random; ///< random numbers
     std::function<wall_time()> wall_clock; ///< the wall clock, for the age of idempotency keys
-    transport_hooks transport;             ///< the network
     claim_store_hooks claims;              ///< the platform, for orders
     holder_count holders;                  ///< nodes that share each server's connections
 };
 
-/** Names one running request of this node, to abandon it. */
-using run_id = strong_type<struct run_tag, std::uint64_t>;
-
 /** Every service and every running request of one node. */
 class query_router {
 public:
@@ -66,16 +64,14 @@
     void set_ready() { ready_ = true; }
     [[nodiscard]] bool is_ready() const noexcept { return ready_ && !stopping_; }
 
-    [[nodiscard]] dispatcher& servers() noexcept { return servers_; }
-    [[nodiscard]] const dispatcher& servers() const noexcept { return servers_; }
     [[nodiscard]] const std::map<service_name, service>& services() const noexcept { return services_; }
     /** @return requests running now. */
-    [[nodiscard]] std::size_t running() const noexcept { return gathers_.size() + orders_.size(); }
+    [[nodiscard]] std::size_t running() const noexcept { return searches_.size() + orders_.size(); }
 
 private:
     void refuse(const caller_request& request, refusal_reason reason, duration retry_after,
                 answer_hook& respond);
-    void run_gather(service& owner, caller_request request, time_point deadline, run_id id,
+    void run_search(service& owner, caller_request request, time_point deadline, run_id id,
                     answer_hook respond);
     void run_order(service& owner, caller_request request, time_point deadline, run_id id,
                    answer_hook respond);
@@ -85,19 +81,18 @@
     void count_answer(const answer& reply, time_point started);
 
     router_parts parts_;                       ///< what the node shares
-    dispatcher servers_;                       ///< all servers
     std::map<service_name, service> services_; ///< documents in force
     struct early_snapshots {
         std::vector<shard_map> maps;
         object_version version;
     };
-    std::map<service_name, early_snapshots> early_;                 ///< snapshots ahead of their document
-    std::unordered_map<run_id, std::unique_ptr<gather>> gathers_;   ///< running searches and lookups
-    std::unordered_map<run_id, std::unique_ptr<order_run>> orders_; ///< running orders
-    std::uint64_t next_run_ = 1;                                    ///< the next request's ID
-    bool ready_ = false;                                            ///< whether requests are taken
-    bool stopping_ = false;                                         ///< whether stop() has been called
-    std::function<void()> stopped_;                                 ///< called when none runs any more
+    std::map<service_name, early_snapshots> early_;                    ///< snapshots ahead of their document
+    std::unordered_map<run_id, std::unique_ptr<search_run>> searches_; ///< running searches and lookups
+    std::unordered_map<run_id, std::unique_ptr<order_run>> orders_;    ///< running orders
+    std::uint64_t next_run_ = 1;                                       ///< the next request's ID
+    bool ready_ = false;                                               ///< whether requests are taken
+    bool stopping_ = false;                                            ///< whether stop() has been called
+    std::function<void()> stopped_;                                    ///< called when none runs any more
 };
 
 } // namespace pollengrade
--- a/packages/core/queries/service.cpp
+++ b/packages/core/queries/service.cpp
@@ -8,21 +8,29 @@
 
 namespace {
 
-constexpr double hedge_quantile = 0.95; ///< the quantile of a shard's latency that hedges are timed by
-constexpr double hedge_margin = 1.5;    ///< times the quantile: later than any reply without a fault
+/** @return the bounds on hedges and retries of a document. */
+load_budget_limits budget_of(const service_document& document) {
+    constexpr double percent = 100;
+    return {document.extra_load_percent / percent, static_cast<double>(document.extra_load_burst)};
+}
+
+/** @return the server at an address; servers of a shard map are known by it alone. */
+upstream_id id_of(const upstream_address& address) {
+    return upstream_id{address.value()};
+}
 
 } // namespace
 
 service::service(service_document document, object_version version, dispatcher& servers, holder_count holders)
     : document_{std::move(document)}, version_{version}, servers_{servers}, holders_{holders},
-      budget_{document_.extra_load_percent, document_.extra_load_burst} {}
+      budget_{budget_of(document_)} {}
 
 bool service::apply(service_document document, object_version version) {
     if (version <= version_)
         return false;
     document_ = std::move(document);
     version_ = version;
-    budget_.set_limits(document_.extra_load_percent, document_.extra_load_burst);
+    budget_.set_limits(budget_of(document_));
     publish_limits();
     return true;
 }
@@ -50,19 +58,30 @@
 void service::publish_limits() {
     // One share stays free for a node that this one does not know of yet.
     const std::uint32_t share = document_.connections_per_server / (holders_.value() + 1);
-    const upstream_limits limits{std::max(1U, share), document_.slots_per_server, document_.queue_per_server};
+    const upstream_limits limits{std::max(1U, share), document_.slots_per_server};
     for (const auto& [version, map] : snapshots_) {
         for (const shard_entry& shard : map->shards) {
-            for (const upstream_address& it : shard.replicas)
-                servers_.set_limits(it, limits);
+            std::vector<upstream_id> members;
+            for (const upstream_address& it : shard.replicas) {
+                members.push_back(id_of(it));
+                servers_.put_server({members.back(), it, {}, {}}, limits);
+            }
+            servers_.set_members(set_of(shard), std::move(members), document_.queue_per_server);
         }
     }
 }
 
+replica_set_name service::set_of(const shard_entry& shard) {
+    std::string name;
+    for (const upstream_address& it : shard.replicas)
+        name += (name.empty() ? "" : ",") + it.value();
+    return replica_set_name{std::move(name)};
+}
+
 std::size_t service::usable_shards(const shard_map& map) const {
     return static_cast<std::size_t>(
         std::count_if(map.shards.begin(), map.shards.end(), [&](const shard_entry& it) {
-            return servers_.expected_wait(it.replicas).has_value();
+            return servers_.expected_wait(set_of(it), {}).has_value();
         }));
 }
 
@@ -84,17 +103,4 @@
     return best;
 }
 
-void service::add_latency(shard_id shard, duration latency) {
-    tails_.try_emplace(shard, hedge_quantile).first->second.add(latency);
-}
-
-duration service::hedge_delay(shard_id shard) const {
-    const auto it = tails_.find(shard);
-    if (it == tails_.end())
-        return document_.hedge_min_delay;
-    const auto due =
-        static_cast<duration::rep>(static_cast<double>(it->second.value().count()) * hedge_margin);
-    return std::max(document_.hedge_min_delay, duration{due});
-}
-
 } // namespace pollengrade
--- a/packages/core/queries/service.h
+++ b/packages/core/queries/service.h
@@ -5,11 +5,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 #include "core/base/id_type.h"
-#include "core/base/quantile.h"
 #include "core/config/service_document.h"
 #include "core/upstreams/dispatcher.h"
 #include "core/upstreams/load_budget.h"
@@ -61,23 +59,20 @@
      */
     [[nodiscard]] shard_map_ptr pin(std::optional<index_version> excluded) const;
 
-    /** Adds a shard's latency. */
-    void add_latency(shard_id shard, duration latency);
-    /** @return when a hedge for a shard is due, from the start of its first attempt. */
-    [[nodiscard]] duration hedge_delay(shard_id shard) const;
+    /** @return the replica set of a shard's servers. */
+    [[nodiscard]] static replica_set_name set_of(const shard_entry& shard);
 
 private:
     void publish_limits();
     [[nodiscard]] std::size_t usable_shards(const shard_map& map) const;
 
-    service_document document_;                              ///< the document in force
-    object_version version_;                                 ///< its version
-    dispatcher& servers_;                                    ///< all servers
-    holder_count holders_;                                   ///< nodes that share each server
-    load_budget budget_;                                     ///< bound on hedges and retries
-    std::map<index_version, shard_map_ptr> snapshots_;       ///< by version
-    object_version snapshots_version_;                       ///< the platform's version of them
-    std::unordered_map<shard_id, quantile_estimator> tails_; ///< 95th percentile by shard
+    service_document document_;                        ///< the document in force
+    object_version version_;                           ///< its version
+    dispatcher& servers_;                              ///< all servers
+    holder_count holders_;                             ///< nodes that share each server
+    load_budget budget_;                               ///< bound on hedges and retries
+    std::map<index_version, shard_map_ptr> snapshots_; ///< by version
+    object_version snapshots_version_;                 ///< the platform's version of them
 };
 
 } // namespace pollengrade
--- /dev/null
+++ b/packages/core/upstreams/load_budget.cpp
@@ -0,0 +1,50 @@
+/** @file load_budget.cpp A sliding window in slices. */
+#include "core/upstreams/load_budget.h"
+
+#include <algorithm>
+
+namespace pollengrade {
+
+load_budget::slice& load_budget::current(time_point now) {
+    const auto slice_us =
+        std::max<std::int64_t>(1, limits_.window.count() / static_cast<std::int64_t>(slice_count));
+    const std::int64_t number = now.time_since_epoch().count() / slice_us;
+    const auto size = static_cast<std::int64_t>(slices_.size());
+    const std::int64_t steps = std::clamp<std::int64_t>(number - latest_, 0, size);
+    for (std::int64_t n = number - steps + 1; n <= number; ++n)
+        slices_.at(static_cast<std::size_t>(n % size)) = {};
+    latest_ = std::max(latest_, number);
+    // The oldest slice lies partly before the window: what was needed then counts no more, what was extra
+    // still does.
+    const auto oldest = static_cast<std::size_t>((latest_ + 1) % size);
+    needed_ = 0;
+    extra_ = 0;
+    for (std::size_t n = 0; n < slices_.size(); ++n) {
+        needed_ += n == oldest ? 0 : slices_.at(n).needed;
+        extra_ += slices_.at(n).extra;
+    }
+    return slices_.at(static_cast<std::size_t>(latest_ % size));
+}
+
+void load_budget::on_needed_request(time_point now) {
+    ++current(now).needed;
+}
+
+double load_budget::left(time_point now) {
+    current(now);
+    return limits_.ratio * needed_ + limits_.slack - extra_;
+}
+
+bool load_budget::try_take(time_point now) {
+    if (left(now) < 1)
+        return false;
+    ++current(now).extra;
+    return true;
+}
+
+void load_budget::give_back(time_point now) {
+    slice& it = current(now);
+    it.extra -= std::min(it.extra, 1U);
+}
+
+} // namespace pollengrade
--- a/packages/core/upstreams/load_budget.h
+++ b/packages/core/upstreams/load_budget.h
@@ -1,50 +1,56 @@
 /** @file load_budget.h The bound on hedges and retries, in proportion to the requests needed. */
 #pragma once
 
-#include <algorithm>
+#include <array>
+#include <cstddef>
 #include <cstdint>
 
+#include "core/base/time_type.h"
+
 namespace pollengrade {
 
-/** A token bucket that fills with traffic: each request needed adds a fraction of an extra one. */
+/** How many requests beyond those needed one node may send to a service. */
+struct load_budget_limits {
+    double ratio = 0;                           ///< extra requests for each needed one
+    double slack = 0;                           ///< extra requests in a window besides
+    duration window = std::chrono::seconds{10}; ///< over which both are counted
+};
+
+/**
+ * Counts needed and extra requests over a sliding window. In any span of the window's length a node sends at
+ * most ratio times its needed requests plus the slack; so the nodes together keep the sum of their bounds.
+ */
 class load_budget {
 public:
-    /**
-     * @param percent extra requests for each hundred needed
-     * @param burst most extra requests saved up
-     */
-    load_budget(std::uint32_t percent, std::uint32_t burst)
-        : per_request_{percent}, capacity_{std::uint64_t{burst} * units_per_token},
-          // Full at the start: a fresh node that meets a lost server must be able to ask another.
-          saved_{capacity_} {}
-
-    /** Changes the bounds and keeps what is saved, as far as the new burst allows. */
-    void set_limits(std::uint32_t percent, std::uint32_t burst) {
-        per_request_ = percent;
-        capacity_ = std::uint64_t{burst} * units_per_token;
-        saved_ = std::min(saved_, capacity_);
-    }
+    explicit load_budget(load_budget_limits limits) : limits_{limits} {}
+
+    /** Changes the bounds; what has been counted stays. */
+    void set_limits(load_budget_limits limits) { limits_ = limits; }
 
     /** Notes one request that was needed. */
-    void on_needed_request() { saved_ = std::min(capacity_, saved_ + per_request_); }
+    void on_needed_request(time_point now);
+    /** @return whether an extra request may be sent; counts it as sent. */
+    [[nodiscard]] bool try_take(time_point now);
+    /** Gives back an extra request that was not sent after all. */
+    void give_back(time_point now);
+    /** @return extra requests that may be sent now. */
+    [[nodiscard]] double left(time_point now);
 
-    /** @return whether an extra request may be sent; takes it from what is saved. */
-    [[nodiscard]] bool try_take() {
-        if (saved_ < units_per_token)
-            return false;
-        saved_ -= units_per_token;
-        return true;
-    }
+private:
+    static constexpr std::size_t slice_count = 20; ///< the window's resolution
 
-    /** Gives back an extra request that turned out not to have run. */
-    void give_back() { saved_ = std::min(capacity_, saved_ + units_per_token); }
+    struct slice {
+        std::uint32_t needed = 0;
+        std::uint32_t extra = 0;
+    };
 
-private:
-    static constexpr std::uint64_t units_per_token = 100; ///< hundredths, so that percents add exactly
+    slice& current(time_point now);
 
-    std::uint64_t per_request_ = 0; ///< hundredths added by a needed request
-    std::uint64_t capacity_ = 0;    ///< most hundredths saved
-    std::uint64_t saved_ = 0;       ///< hundredths saved
+    load_budget_limits limits_;                   ///< the bounds
+    std::array<slice, slice_count + 1> slices_{}; ///< one more than the window: the oldest is cut off late
+    std::int64_t latest_ = 0;                     ///< number of the slice last counted in
+    std::uint32_t needed_ = 0;                    ///< over all slices but the oldest
+    std::uint32_t extra_ = 0;                     ///< over all slices
 };
 
 } // namespace pollengrade
--- /dev/null
+++ b/packages/core/upstreams/placement_func.cpp
@@ -0,0 +1,47 @@
+/** @file placement_func.cpp Costs of servers, compared. */
+#include "core/upstreams/placement_func.h"
+
+#include <algorithm>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr double foreign_cost = 2;   ///< times the cost, for a server of another failure domain
+constexpr double doubtful_cost = 64; ///< times the cost, for a server in doubt: after all ready ones
+constexpr double jitter = 0.1;       ///< share of the cost drawn at random
+constexpr std::uint64_t jitter_steps = 1024;
+
+double cost_of(const placement_candidate& it) {
+    const double queueing = static_cast<double>(it.in_flight + 1) / std::max(1U, it.slots);
+    double cost = it.slowness * std::max(1.0, queueing) + queueing / 4;
+    if (!it.is_local)
+        cost *= foreign_cost;
+    if (!it.is_ready)
+        cost *= doubtful_cost;
+    return cost;
+}
+
+} // namespace
+
+std::optional<std::size_t> place(std::span<const placement_candidate> candidates, placement_purpose purpose,
+                                 const std::function<std::uint64_t()>& random) {
+    std::optional<std::size_t> best;
+    double best_cost = 0;
+    for (std::size_t n = 0; n < candidates.size(); ++n) {
+        const placement_candidate& it = candidates[n];
+        if (it.is_trial_due && purpose == placement_purpose::first)
+            return n;
+        if (!it.is_ready && purpose == placement_purpose::hedge)
+            continue;
+        const double drawn = static_cast<double>(random() % jitter_steps) / jitter_steps;
+        const double cost = cost_of(it) * (1 + jitter * drawn);
+        if (!best || cost < best_cost) {
+            best = n;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/core/upstreams/registry.h
@@ -0,0 +1,74 @@
+/** @file registry.h The servers that there are, as of one revision of the platform's store. */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/base/event_log.h"
+#include "core/base/metrics.h"
+#include "core/base/timer_queue.h"
+#include "core/config/object_type.h"
+#include "core/upstreams/server_entry.h"
+
+namespace pollengrade {
+
+/** All servers as of one revision; what nodes give each other. */
+struct registry_snapshot {
+    object_version revision;           ///< the store's revision that it is of
+    std::vector<server_entry> entries; ///< every readable one
+};
+
+/**
+ * Keeps the latest entry of each server. The store's revision is the one order of all nodes: a snapshot of a
+ * lower or equal revision, from wherever it comes, changes nothing, so a peer that lags cannot bring back a
+ * server that was removed.
+ *
+ * Removals that are learned right after the store has come back are believed only after a while: entries
+ * lapse while it is away, and servers that live write them again.
+ */
+class registry {
+public:
+    /** Sees each change of what is believed: the entry, and whether it is gone. */
+    using changed_hook = std::function<void(const server_entry&, bool removed)>;
+
+    registry(timer_queue& timers, event_log& log, metrics& counts, changed_hook changed);
+
+    /** Takes all entries as of a revision. */
+    void replace(const object_list& list);
+    /** Takes changes since the revision held. */
+    void apply(const object_changes& changes);
+    /** Takes a peer's snapshot. @return whether it was later than what was held */
+    bool take(const registry_snapshot& other);
+    /** The store answers again after it did not for a while. */
+    void on_store_regained();
+
+    /** @return what is believed, for peers. */
+    [[nodiscard]] registry_snapshot snapshot() const;
+    /** @return the revision held; 0 for none. */
+    [[nodiscard]] object_version revision() const noexcept { return revision_; }
+    /** @return the revision of the latest change of an entry that is known. */
+    [[nodiscard]] object_version changed_at() const noexcept { return changed_at_; }
+    [[nodiscard]] const std::map<std::string, server_entry>& entries() const noexcept { return entries_; }
+
+private:
+    void put(const server_entry& entry);
+    void remove(const std::string& name, bool is_believed);
+    void remove_now(const std::string& name);
+    void note_unreadable(const std::string& name, object_version version);
+
+    timer_queue& timers_;                              ///< the clock
+    event_log& log_;                                   ///< the event log
+    metrics& counts_;                                  ///< the counters
+    changed_hook changed_;                             ///< see changed_hook
+    object_version revision_;                          ///< see revision()
+    object_version changed_at_;                        ///< see changed_at()
+    std::map<std::string, server_entry> entries_;      ///< by name
+    std::map<std::string, timer_id> doubted_;          ///< removals not believed yet
+    std::map<std::string, object_version> unreadable_; ///< entries that name no server, told once each
+    time_point doubt_until_{}; ///< removals learned before this are doubted until then
+};
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/core/upstreams/server_pool.cpp
@@ -0,0 +1,80 @@
+/** @file server_pool.cpp Shares and replica sets. */
+#include "core/upstreams/server_pool.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr std::uint32_t least_nodes = 6; ///< assumed while few are known: all may be starting
+constexpr std::uint32_t reserved_nodes =
+    2; ///< that may join, or whose connections are not yet known to be dead
+constexpr std::uint32_t max_waiting = 16;        ///< attempts that wait for each server
+constexpr std::uint32_t unknown_connections = 1; ///< of a service that the routes do not describe
+
+} // namespace
+
+std::uint32_t assumed_nodes(std::uint32_t nodes) {
+    return std::max(nodes, least_nodes) + reserved_nodes;
+}
+
+std::uint32_t connection_share(std::uint32_t max_connections, std::uint32_t nodes) {
+    return std::max(1U, max_connections / assumed_nodes(nodes));
+}
+
+replica_set_name set_of(const service_name& service) {
+    return replica_set_name{service.value()};
+}
+
+void server_pool::publish(const server_entry& entry) {
+    const auto known = max_connections_.find(entry.service);
+    const std::uint32_t most = known == max_connections_.end() ? unknown_connections : known->second;
+    servers_.put_server({id_of(entry), entry.address, entry.domain, entry.name},
+                        {connection_share(most, nodes_), entry.slots});
+}
+
+void server_pool::publish_set(const service_name& service) {
+    std::vector<upstream_id> members;
+    for (const auto& [id, entry] : entries_) {
+        if (entry.service == service)
+            members.push_back(id);
+    }
+    servers_.set_members(set_of(service), std::move(members), max_waiting);
+}
+
+void server_pool::on_entry(const server_entry& entry, bool removed) {
+    const upstream_id id = id_of(entry);
+    if (removed) {
+        entries_.erase(id);
+        servers_.remove_server(id);
+        publish_set(entry.service);
+        return;
+    }
+    const bool is_new = !entries_.contains(id);
+    entries_[id] = entry;
+    publish(entry);
+    if (is_new)
+        publish_set(entry.service);
+    if (entry.is_leaving)
+        servers_.note_leaving(id, {});
+}
+
+void server_pool::on_routes(const route_table& table) {
+    max_connections_.clear();
+    for (const auto& [name, service] : table.services())
+        max_connections_[name] = service.max_connections;
+    for (const auto& [id, entry] : entries_)
+        publish(entry);
+}
+
+void server_pool::on_nodes(std::uint32_t nodes) {
+    if (std::exchange(nodes_, nodes) == nodes)
+        return;
+    for (const auto& [id, entry] : entries_)
+        publish(entry);
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/core/upstreams/server_pool.h
@@ -0,0 +1,51 @@
+/** @file server_pool.h Binds what the registry and the routes say to the dispatcher's servers. */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+
+#include "core/base/event_log.h"
+#include "core/config/route_table.h"
+#include "core/upstreams/dispatcher.h"
+#include "core/upstreams/server_entry.h"
+
+namespace pollengrade {
+
+/** @return the number of nodes to share with: a few more than those known to be running. */
+[[nodiscard]] std::uint32_t assumed_nodes(std::uint32_t nodes);
+
+/**
+ * Load it answers: servers take few connections from all nodes together, and nodes come and go.
+ * @param max_connections that one server takes from all nodes
+ * @param nodes known to be running, this one included
+ * @return one node's share: some are left for nodes that this one does not know of; at least 1
+ */
+[[nodiscard]] std::uint32_t connection_share(std::uint32_t max_connections, std::uint32_t nodes);
+
+/** @return the replica set of a service's servers. */
+[[nodiscard]] replica_set_name set_of(const service_name& service);
+
+/** The servers of routed services. */
+class server_pool {
+public:
+    explicit server_pool(dispatcher& servers) : servers_{servers} {}
+
+    /** Takes a change of the registry. */
+    void on_entry(const server_entry& entry, bool removed);
+    /** Takes routes that are in force now: they say what a server takes. */
+    void on_routes(const route_table& table);
+    /** Takes the number of running nodes. */
+    void on_nodes(std::uint32_t nodes);
+
+private:
+    void publish(const server_entry& entry);
+    void publish_set(const service_name& service);
+
+    dispatcher& servers_;                                   ///< what is told
+    std::map<upstream_id, server_entry> entries_;           ///< of servers that have not left
+    std::map<service_name, std::uint32_t> max_connections_; ///< of each described service
+    std::uint32_t nodes_ = 1;                               ///< see on_nodes()
+};
+
+} // namespace pollengrade
--- a/packages/core/upstreams/shard_func.h
+++ b/packages/core/upstreams/shard_func.h
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include <tl/expected.hpp>
+
 #include "core/upstreams/shard_type.h"
 
 namespace pollengrade {
--- a/packages/core/upstreams/shard_type.h
+++ b/packages/core/upstreams/shard_type.h
@@ -7,8 +7,6 @@
 #include <string>
 #include <vector>
 
-#include <tl/expected.hpp>
-
 #include "core/base/error_type.h"
 #include "core/base/id_type.h"
 #include "core/base/time_type.h"
@@ -71,23 +69,4 @@
     std::string server_incarnation;     ///< changes when the server restarts
 };
 
-/** One attempt's failure. */
-struct attempt_failure {
-    attempt_error code = attempt_error::not_sent; ///< what went wrong
-    duration retry_after{};                       ///< when the server wants to be asked again
-};
-
-using attempt_result = tl::expected<shard_reply, attempt_failure>;
-
-/** One request to one server. */
-struct attempt_request {
-    upstream_address to;                      ///< the server
-    service_name service;                     ///< the service
-    request_id request;                       ///< the caller's request
-    shard_id shard;                           ///< the shard wanted
-    index_version version;                    ///< the pinned snapshot
-    time_point deadline;                      ///< when the answer is of no more use
-    std::shared_ptr<const shard_query> query; ///< what is asked
-};
-
 } // namespace pollengrade
--- a/packages/core/upstreams/upstream.h
+++ b/packages/core/upstreams/upstream.h
@@ -1,115 +1,143 @@
-/** @file upstream.h One server of a service, as this node sees it. */
+/** @file upstream.h One life of one server, as this node sees it: identity, connections, requests, standing.
+ */
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
-#include "core/base/error_type.h"
 #include "core/base/id_type.h"
 #include "core/base/time_type.h"
+#include "core/upstreams/connection_type.h"
+#include "core/upstreams/upstream_standing.h"
 
 namespace pollengrade {
 
+/** Who a server is. */
+struct upstream_identity {
+    upstream_id id;           ///< one life of it
+    upstream_address address; ///< where it listens; another server's later
+    failure_domain domain;    ///< where its VM stands; empty when not known
+    std::string instance;     ///< the name that the server checks requests for; empty for none
+};
+
 /** What a server takes from this node. */
 struct upstream_limits {
-    std::uint32_t max_in_flight = 2; ///< this node's share of the server's connections
-    std::uint32_t slots = 2;         ///< requests the server runs at a time
-    std::uint32_t max_queue = 64;    ///< requests kept waiting here
+    std::uint32_t max_connections = 2; ///< this node's share of the server's connections
+    std::uint32_t slots = 2;           ///< requests the server runs at a time, from all nodes
+};
+
+/** Whether a server is to be sent new requests. */
+enum class upstream_condition : std::uint8_t {
+    ready,    ///< nothing speaks against it
+    doubtful, ///< slow, failing, shedding, or late with a reply: only when there is no other, or as a trial
+    silent,   ///< has not answered for so long that it counts as lost until a new connection comes about
+    leaving,  ///< it said so, or was removed
+};
+
+/** A request at a server. */
+struct request_in_flight {
+    attempt_id attempt;        ///< which
+    connection_id connection;  ///< on which connection
+    time_point sent;           ///< when
+    duration usual;            ///< a time within which nearly all such requests are answered
+    bool noted_silent = false; ///< whether take_silent_flights() has given it
 };
 
 /**
- * The standing and load of one server.
- * Draining holds for one incarnation of the server: only a later incarnation clears it.
+ * One server. Leaving holds for one incarnation: word of a later one clears it. A server whose ID names one
+ * life of it has no incarnations to tell apart.
  */
 class upstream {
 public:
-    upstream(upstream_address address, upstream_limits limits)
-        : address_{std::move(address)}, limits_{limits}, window_{static_cast<double>(limits.max_in_flight)} {}
-
-    [[nodiscard]] const upstream_address& address() const noexcept { return address_; }
-    [[nodiscard]] bool is_draining() const noexcept { return draining_; }
-    [[nodiscard]] std::uint32_t in_flight() const noexcept { return in_flight_; }
-    [[nodiscard]] std::uint32_t max_in_flight() const noexcept { return limits_.max_in_flight; }
-    [[nodiscard]] const std::string& incarnation() const noexcept { return incarnation_; }
+    upstream(upstream_identity identity, upstream_limits limits)
+        : identity_{std::move(identity)}, limits_{limits} {}
 
-    /**
-     * @return whether new work may be sent at @p now; a server that rested after failures is tried with one
-     * request at a time.
-     */
-    [[nodiscard]] bool is_usable(time_point now) const {
-        return !draining_ && now >= closed_until_ && (failures_ < failures_to_rest || in_flight_ == 0);
-    }
-    /** @return whether the server sheds load at @p now; no hedges go to it. */
-    [[nodiscard]] bool is_shedding(time_point now) const { return now < shedding_until_; }
-    /** @return whether one more request may be sent now. */
-    [[nodiscard]] bool has_room() const { return in_flight_ < window(); }
-    /** @return whether one more request may wait. */
-    [[nodiscard]] bool has_queue_room() const { return queue_.size() < limits_.max_queue; }
-    /** @return expected time until a request added now is answered. */
-    [[nodiscard]] duration expected_wait() const;
-    /** @return time without a reply that counts as a failed exchange. */
-    [[nodiscard]] duration silence_limit() const;
-    /** @return requests sent and waiting, relative to the slots and weighed by service time. */
-    [[nodiscard]] double load(time_point now) const;
-
-    /** Changes what the server takes. */
-    void set_limits(upstream_limits limits);
-
-    void enqueue(attempt_id id) { queue_.push_back(id); }
-    /** @return whether @p id was waiting. */
-    bool remove_from_queue(attempt_id id);
-    /** @return the attempt that has waited longest. @pre something waits */
-    attempt_id dequeue();
-    [[nodiscard]] bool has_waiting() const noexcept { return !queue_.empty(); }
-
-    void on_sent() { ++in_flight_; }
-    /** Notes that a request is over, whatever came of it. @pre one is in flight */
-    void on_finished();
-    /** Notes a reply. @param service_time from sending to reply */
-    void on_reply(time_point now, duration service_time, std::uint32_t server_in_flight);
-    /** Notes a request withdrawn without a reply: the server takes at least that long. */
-    void on_outpaced(time_point now, duration waited);
-    /** Notes a refusal for load. */
-    void on_shed(time_point now, duration retry_after);
-    /** Notes a failed connection; the server rests for a growing time. @return whether that is news. */
-    bool on_unreachable(time_point now);
-    /** Notes an exchange without a usable reply; after some in a row the server rests. @return whether it
-     * does. */
-    bool on_failed(time_point now);
-    /** Notes a reply. @return whether the server had been given a rest. */
-    bool on_reachable();
+    [[nodiscard]] const upstream_identity& identity() const noexcept { return identity_; }
+    [[nodiscard]] const upstream_id& id() const noexcept { return identity_.id; }
+    [[nodiscard]] const upstream_address& address() const noexcept { return identity_.address; }
+    [[nodiscard]] const upstream_limits& limits() const noexcept { return limits_; }
+    void set_limits(upstream_limits limits) { limits_ = limits; }
+    /** Takes what the registry says anew about the same life of the server. */
+    void set_domain(failure_domain domain) { identity_.domain = std::move(domain); }
 
+    [[nodiscard]] upstream_standing& standing() noexcept { return standing_; }
+    [[nodiscard]] const upstream_standing& standing() const noexcept { return standing_; }
+    [[nodiscard]] bool is_leaving() const noexcept { return leaving_; }
     /**
      * Notes that an incarnation of the server is leaving.
      * @param incarnation the one leaving; empty when the source does not know it
      * @return whether this is news
      */
-    bool mark_draining(std::string_view incarnation);
-    /** Notes a live incarnation; clears draining only when it is another one. @return whether it did. */
+    bool mark_leaving(std::string_view incarnation);
+    /** Notes a live incarnation; clears leaving only when it is another one. @return whether it did. */
     bool mark_live(std::string_view incarnation);
+    /** @return the incarnation last heard of; empty when none was. */
+    [[nodiscard]] const std::string& incarnation() const noexcept { return incarnation_; }
+
+    [[nodiscard]] upstream_condition condition(time_point now) const;
+    /** @return whether a request sent now would be the one trial of a server in doubt. */
+    [[nodiscard]] bool is_trial_due(time_point now) const;
+
+    /** @return an open connection without a request, the one used last; nullopt when there is none. */
+    [[nodiscard]] std::optional<connection_id> idle_connection(time_point now) const;
+    /** @return whether one more connection may be opened at @p now. */
+    [[nodiscard]] bool may_connect(time_point now) const;
+    /** @return whether a connection is being opened. */
+    [[nodiscard]] bool is_connecting() const;
+    [[nodiscard]] std::uint32_t open_connections() const;
+    [[nodiscard]] std::uint32_t in_flight() const noexcept {
+        return static_cast<std::uint32_t>(flights_.size());
+    }
+    /** @return age of the oldest request not answered; zero for none. */
+    [[nodiscard]] duration oldest_age(time_point now) const;
+    /** @return requests that have come to count as lost with their connection since the last call. */
+    [[nodiscard]] std::vector<request_in_flight> take_silent_flights(time_point now);
+    /** @return connections without a request. */
+    [[nodiscard]] std::vector<connection_id> idle_connections() const;
+
+    void on_connecting(connection_id id, time_point now);
+    void on_connected(connection_id id, time_point now);
+    /** From now on requests sent before @p now say nothing about the server: its connections were at fault.
+     */
+    void excuse_flights(time_point now) { excused_before_ = now; }
+    /** Notes the end of a connection, and of the request on it. */
+    void on_connection_gone(connection_id id);
+    void on_sent(attempt_id attempt, connection_id connection, time_point now, duration usual);
+    /**
+     * Notes the end of a request on a connection that stays open.
+     * @param idle_limit how long the server keeps the connection unused; zero when it did not say
+     */
+    void on_answered(connection_id id, time_point now, duration idle_limit);
+    /** @return whether a connection has carried an answered request. */
+    [[nodiscard]] bool has_served(connection_id id) const;
+    /** @return the request on a connection; null when there is none. */
+    [[nodiscard]] const request_in_flight* flight_on(connection_id id) const;
 
 private:
-    static constexpr std::uint32_t failures_to_rest = 3; ///< failed exchanges in a row
-
-    void rest(time_point now);
-    [[nodiscard]] std::uint32_t window() const { return static_cast<std::uint32_t>(window_); }
-
-    upstream_address address_;           ///< where it listens
-    upstream_limits limits_;             ///< what it takes
-    double window_;                      ///< requests allowed in flight, 1 to limits_.max_in_flight
-    std::uint32_t in_flight_ = 0;        ///< requests sent and not over
-    std::deque<attempt_id> queue_;       ///< attempts waiting, oldest first
-    double service_time_us_ = 1000;      ///< smoothed time from sending to reply
-    time_point sampled_at_{};            ///< when service_time_us_ was last renewed
-    std::uint32_t server_in_flight_ = 0; ///< what the server last reported
-    bool draining_ = false;              ///< whether the incarnation is leaving
-    std::string incarnation_;            ///< the incarnation last heard of
-    time_point closed_until_{};          ///< no new work before this
-    time_point shedding_until_{};        ///< sheds load until this
-    std::uint32_t sheds_ = 0;            ///< refusals for load in a row
-    std::uint32_t failures_ = 0;         ///< failed connections and exchanges in a row
+    /** One connection. */
+    struct link {
+        connection_id id;        ///< which
+        bool open = false;       ///< else it is being opened
+        bool busy = false;       ///< whether a request is on it
+        bool served = false;     ///< whether a request on it was answered
+        time_point last_used;    ///< opened, or last reply
+        time_point usable_until; ///< when the server may close it unused
+    };
+
+    link& at(connection_id id);
+
+    upstream_identity identity_;             ///< who it is
+    upstream_limits limits_;                 ///< what it takes
+    upstream_standing standing_;             ///< how it has served
+    bool leaving_ = false;                   ///< see is_leaving()
+    std::string incarnation_;                ///< see incarnation()
+    time_point excused_before_{};            ///< see excuse_flights()
+    std::vector<link> links_;                ///< its connections
+    std::vector<request_in_flight> flights_; ///< oldest first
 };
 
 } // namespace pollengrade
--- a/packages/ctl/document_command.cpp
+++ b/packages/ctl/document_command.cpp
@@ -15,17 +15,15 @@
 #include "core/config/node_settings.h"
 #include "core/config/service_document.h"
 #include "ctl/http_call.h"
+#include "ctl/store_call.h"
 #include "http/codec.h"
-#include "http/http_func.h"
-#include "http/json_view.h"
+#include "http/uri_func.h"
+#include "json/json_view.h"
 
 namespace pollengrade {
 
 namespace {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_conflict = 409;
 constexpr gulong poll_interval_us = 50'000; ///< between two looks at the nodes
 
 /** A document as the platform holds it. */
@@ -43,12 +41,8 @@
     return text.str();
 }
 
-std::string kind_path(config_kind kind) {
-    return kind == config_kind::service_document ? "service" : "shardmap";
-}
-
-std::string object_path(config_kind kind, const std::string& name) {
-    return "/v1/objects/" + kind_path(kind) + "/" + escape_uri(name);
+object_kind kind_of(config_kind kind) {
+    return kind == config_kind::service_document ? object_kind::service_document : object_kind::shard_maps;
 }
 
 /** Says what is wrong on standard error. */
@@ -69,18 +63,13 @@
 
 tl::expected<remote_document, exit_code> fetch(const command_context& context, config_kind kind,
                                                const std::string& name) {
-    const auto reply =
-        call({.address = context.platform, .path = object_path(kind, name), .body = {}, .headers = {}});
-    if (!reply)
-        return tl::unexpected{exit_code::unreachable};
-    if (reply->status == status_not_found)
+    const auto object = read_object(context.platform, kind_of(kind), name);
+    if (!object && object.error() == store_error::absent)
         return remote_document{};
-    const auto document = json_document::parse(reply->body);
-    const auto version = document ? document->root().natural("version") : std::nullopt;
-    const auto value = document ? document->root().text("value") : std::nullopt;
-    if (reply->status != status_ok || !version || !value)
+    const auto* text = object ? std::get_if<std::string>(&object->content) : nullptr;
+    if (text == nullptr)
         return tl::unexpected{exit_code::unreachable};
-    return remote_document{*version, std::string{*value}};
+    return remote_document{object->version.value(), *text};
 }
 
 std::vector<std::string> lines_of(const std::string& text) {
@@ -108,21 +97,16 @@
 /** Writes the document and settles a lost reply by reading it back. @return its version */
 tl::expected<std::uint64_t, exit_code> write(const command_context& context, const apply_arguments& arguments,
                                              const std::string& text, std::uint64_t expected) {
-    const std::string path =
-        object_path(arguments.kind, arguments.name) + "?if_version=" + std::to_string(expected);
-    const auto reply =
-        call({.method = "PUT", .address = context.platform, .path = path, .body = text, .headers = {}});
-    if (reply && reply->status == status_ok) {
-        const auto document = json_document::parse(reply->body);
-        if (const auto version = document ? document->root().natural("version") : std::nullopt)
-            return *version;
-    }
-    if (!reply && reply.error() == call_error::not_sent) {
+    const auto written = write_object(context.platform, kind_of(arguments.kind), arguments.name, text,
+                                      object_version{expected});
+    if (written)
+        return written->value();
+    if (written.error() == store_error::unavailable) {
         std::cerr << "pollengradectl: the platform at " << context.platform
                   << " was not reached; nothing changed\n";
         return tl::unexpected{exit_code::unreachable};
     }
-    const bool conflict = reply && reply->status == status_conflict;
+    const bool conflict = written.error() == store_error::conflict;
     const auto now = fetch(context, arguments.kind, arguments.name);
     if (!now) {
         std::cerr << "pollengradectl: the reply was lost and reading back failed: it may have taken effect; "
@@ -237,7 +221,7 @@
             return fail(now.error(),
                         "the platform at " + context.platform + " was not reached; nothing changed");
         expected = now->version;
-    } else if (const auto n = parse_natural(arguments.expected.c_str())) {
+    } else if (const auto n = parse_natural(arguments.expected)) {
         expected = *n;
     } else {
         return fail(exit_code::usage, "--expect takes a version, or 0 for a new document");
@@ -269,23 +253,18 @@
     json_writer out;
     out.begin_array();
     for (const config_kind kind : {config_kind::service_document, config_kind::shard_maps}) {
-        const auto reply = call({.address = context.platform,
-                                 .path = "/v1/objects/" + kind_path(kind),
-                                 .body = {},
-                                 .headers = {}});
-        const auto document = reply ? json_document::parse(reply->body) : std::nullopt;
-        const auto objects = document ? document->root().member("objects") : std::nullopt;
-        const auto elements = objects ? objects->elements() : std::nullopt;
-        if (!elements)
+        const auto list = read_objects(context.platform, kind_of(kind));
+        if (!list)
             return fail(exit_code::unreachable, "the platform at " + context.platform + " was not reached");
-        for (const json_view& it : *elements) {
-            const std::string name{it.text("name").value_or("")};
-            const std::uint64_t version = it.natural("version").value_or(0);
+        for (const stored_object& it : list->objects) {
+            const std::string& name = it.name;
+            const std::uint64_t version = it.version.value();
+            const std::string kind_name{to_string(kind_of(kind))};
             if (context.json) {
-                out.begin_object().member("kind", kind_path(kind)).member("name", name);
+                out.begin_object().member("kind", kind_name).member("name", name);
                 out.member("version", version).end_object();
             } else {
-                std::cout << kind_path(kind) << " " << name << " " << version << "\n";
+                std::cout << kind_name << " " << name << " " << version << "\n";
             }
         }
     }
--- a/packages/ctl/http_call.cpp
+++ b/packages/ctl/http_call.cpp
@@ -1,38 +1,55 @@
-/** @file http_call.cpp Blocking calls by libsoup. */
+/** @file http_call.cpp Blocking calls: the main loop runs until the reply is in. */
 #include "ctl/http_call.h"
 
-#include <libsoup/soup.h>
+#include <memory>
+#include <optional>
+#include <utility>
 
-#include "http/http_func.h"
-#include "runtime/glib_ptr.h"
+#include "ctl/shell_loop.h"
+#include "net/client_connection.h"
+#include "net/message_writer.h"
 
 namespace pollengrade {
 
+namespace {
+
+constexpr message_limits reply_limits{std::size_t{64} * 1024, std::size_t{64} * 1024 * 1024};
+
+} // namespace
+
 tl::expected<call_reply, call_error> call(const call_request& request) {
-    const auto session = make_session(1, 1);
-    g_object_set(session.get(), "timeout", request.limit_seconds, nullptr);
-    const std::string uri = "http://" + request.address + request.path;
-    const gobject_ptr<SoupMessage> message{soup_message_new(request.method.c_str(), uri.c_str())};
-    if (!message)
-        return tl::unexpected{call_error::not_sent};
-    soup_message_set_flags(message.get(), SOUP_MESSAGE_NO_REDIRECT);
+    shell_loop loop;
+    std::optional<tl::expected<call_reply, call_error>> result;
+    request_message message{request.method, request.path, {{"Host", request.address}}, {}, false};
+    message.fields.push_back({"Connection", "close"});
     for (const auto& [name, value] : request.headers)
-        soup_message_headers_append(soup_message_get_request_headers(message.get()), name.c_str(),
-                                    value.c_str());
-    if (!request.body.empty()) {
-        const gbytes_ptr bytes{g_bytes_new(request.body.data(), request.body.size())};
-        soup_message_set_request_body_from_bytes(message.get(), "application/octet-stream", bytes.get());
-    }
-    bool started = false;
-    g_signal_connect(message.get(), "starting",
-                     G_CALLBACK(+[](SoupMessage*, gpointer data) { *static_cast<bool*>(data) = true; }),
-                     &started);
-    GError* error = nullptr;
-    const gbytes_ptr body{soup_session_send_and_read(session.get(), message.get(), nullptr, &error)};
-    const gerror_ptr ec{error};
-    if (ec)
-        return tl::unexpected{started ? call_error::reply_lost : call_error::not_sent};
-    return call_reply{soup_message_get_status(message.get()), std::string{view_of(body.get())}};
+        message.fields.push_back({name, value});
+    outgoing_request outgoing;
+    if (!request.body.empty())
+        outgoing.body = std::make_shared<const std::string>(request.body);
+    append_request_header(outgoing.header, message, request.body.size());
+    outgoing.header += "\r\n";
+
+    std::unique_ptr<client_connection> connection;
+    const auto fail = [&] {
+        const bool may_have_left = connection->state() >= send_state::something_written;
+        result = tl::unexpected{may_have_left ? call_error::reply_lost : call_error::not_sent};
+        loop.quit();
+    };
+    client_connection_hooks hooks;
+    hooks.connected = [&] { connection->send(std::move(outgoing)); };
+    hooks.replied = [&](const reply_message& reply) {
+        result = call_reply{reply.status, reply.body};
+        loop.quit();
+    };
+    hooks.ended = [&](connection_end) { fail(); };
+    connection =
+        std::make_unique<client_connection>(loop.poller(), request.address, reply_limits, std::move(hooks));
+    if (!connection->connect())
+        return tl::unexpected{call_error::not_sent};
+    loop.timers().schedule_after(std::chrono::seconds{request.limit_seconds}, fail);
+    loop.run();
+    return *result;
 }
 
 } // namespace pollengrade
--- a/packages/ctl/node_command.cpp
+++ b/packages/ctl/node_command.cpp
@@ -12,10 +12,11 @@
 #include <vector>
 
 #include "ctl/http_call.h"
-#include "http/http_func.h"
-#include "http/json_view.h"
+#include "http/header_names.h"
+#include "http/uri_func.h"
 #include "runtime/loop_clock.h"
 #include "runtime/random_source.h"
+#include "json/json_view.h"
 
 namespace pollengrade {
 
@@ -34,13 +35,22 @@
     std::string kind;
     std::string request;
     std::string subject;
-    std::int64_t detail = 0;
+    std::string fields; ///< names with values, as in log lines
 };
 
 std::string text_of(const json_view& it, const char* name) {
     return std::string{it.text(name).value_or("")};
 }
 
+/** @return an event's fields as " name=value name=value". */
+std::string fields_of(const json_view& event) {
+    std::string buf;
+    const auto fields = event.member("fields");
+    for (const auto& [name, value] : fields ? fields->members() : std::vector<json_member>{})
+        buf += " " + name + "=" + std::string{value.text().value_or("")};
+    return buf;
+}
+
 bool append_events(const std::string& body, const timeline_arguments& wanted,
                    std::vector<merged_event>& events) {
     const auto document = json_document::parse(body);
@@ -56,7 +66,7 @@
                            text_of(it, "kind"),
                            text_of(it, "request"),
                            text_of(it, "subject"),
-                           it.integer("detail").value_or(0)};
+                           fields_of(it)};
         if (!wanted.request.empty() && event.request != wanted.request)
             continue;
         if (!wanted.subject.empty() && event.subject != wanted.subject)
@@ -75,7 +85,7 @@
         out.begin_object().member("name", it.kind).member("ph", "i").member("s", "p");
         out.member("ts", it.wall_ms * microseconds_per_millisecond + it.counter);
         out.member("pid", it.node).member("tid", it.request.empty() ? it.subject : it.request);
-        out.name("args").begin_object().member("subject", it.subject).member("detail", it.detail);
+        out.name("args").begin_object().member("subject", it.subject).member("fields", it.fields);
         out.end_object().end_object();
     }
     std::cout << out.end_array().take() << "\n";
@@ -208,7 +218,7 @@
         for (const merged_event& it : events) {
             std::cout << it.wall_ms << "." << it.counter << " " << it.node << " " << it.kind << " "
                       << (it.request.empty() ? "-" : it.request) << " "
-                      << (it.subject.empty() ? "-" : it.subject) << " " << it.detail << "\n";
+                      << (it.subject.empty() ? "-" : it.subject) << it.fields << "\n";
         }
     }
     return complete ? exit_code::success : exit_code::unreachable;
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -1,4 +1,4 @@
-/** @file cluster.cpp How membership, spread and relays are joined. */
+/** @file cluster.cpp How membership and the two spreads are joined. */
 #include "daemon/cluster.h"
 
 #include <algorithm>
@@ -10,8 +10,10 @@
 
 namespace {
 
-constexpr std::size_t relays_per_domain = 2; ///< nodes that watch the platform in a failure domain
-constexpr duration peer_ask_period = std::chrono::milliseconds{500}; ///< while configuration is not complete
+constexpr std::size_t relays_per_domain = 2;    ///< nodes that watch the platform in a failure domain
+constexpr std::size_t document_push_fanout = 4; ///< nodes that a document is pushed on to: not all watch
+constexpr duration peer_ask_period =
+    std::chrono::milliseconds{500}; ///< while configuration is not complete, or the platform does not answer
 
 member self_of(const node_settings& settings) {
     member it;
@@ -26,22 +28,14 @@
 } // namespace
 
 cluster::cluster(const node_settings& settings, loop_clock& clock, event_log& log, metrics& counts,
-                 platform_client& platform, config_store& store, const std::function<std::uint64_t()>& random,
+                 config_store& store, registry& servers, const std::function<std::uint64_t()>& random,
                  cluster_hooks hooks)
-    : clock_{clock}, hooks_{std::move(hooks)}, store_{store}, client_{clock, log},
+    : clock_{clock}, hooks_{std::move(hooks)}, store_{store}, servers_{servers}, client_{clock, log},
       membership_{clock.timers(),         log, counts, random, self_of(settings), settings.seeds,
                   make_membership_hooks()},
-      spread_{store, counts, make_spread_hooks()}, feed_{clock.timers(),
-                                                         platform,
-                                                         random,
-                                                         {[this](const std::vector<config_entry>& entries) {
-                                                              spread_.take(entries);
-                                                          },
-                                                          [this] {
-                                                              spread_.set_complete();
-                                                              hooks_.completed();
-                                                          },
-                                                          [this] { return is_relay(); }}},
+      spread_{store, counts, settings.form == interface_form::documents ? document_push_fanout : 0,
+              make_spread_hooks()},
+      registry_{clock.timers(), counts, servers, make_registry_hooks()},
       server_{clock, log, make_peer_hooks()}, address_{settings.peers} {}
 
 membership_hooks cluster::make_membership_hooks() {
@@ -59,9 +53,13 @@
     it.add_config = [this](greeting& word) {
         word.config_digest = store_.digest();
         word.config_complete = spread_.is_complete();
+        word.registry_changed = servers_.changed_at();
     };
-    it.greeted_by = [this](const greeting& from) { spread_.on_greeting(from); };
-    it.changed = [this] { on_changed(); };
+    it.greeted_by = [this](const greeting& from) {
+        spread_.on_greeting(from);
+        registry_.on_greeting(from);
+    };
+    it.changed = [this] { hooks_.live_changed(static_cast<std::uint32_t>(membership_.live().size())); };
     return it;
 }
 
@@ -77,6 +75,18 @@
     return it;
 }
 
+registry_spread_hooks cluster::make_registry_hooks() {
+    registry_spread_hooks it;
+    it.pull = [this](const node_address& from, object_version later_than,
+                     const registry_spread_hooks::pulled& done) { client_.servers(from, later_than, done); };
+    it.draw = [this]() -> std::optional<node_address> {
+        const auto drawn = membership_.draw(1);
+        return drawn.empty() ? std::nullopt : std::optional{drawn.front()};
+    };
+    it.taken = [this] { hooks_.completed(); };
+    return it;
+}
+
 peer_hooks cluster::make_peer_hooks() {
     peer_hooks it;
     it.on_probe = [this](const greeting& from) { return membership_.on_probe(from); };
@@ -90,6 +100,9 @@
     it.members = [this] { return membership_.all(); };
     it.on_push = [this](const std::vector<config_entry>& entries) { spread_.take(entries); };
     it.on_pull = [this](const std::vector<config_version>& known) { return spread_.answer_pull(known); };
+    it.servers_after = [this](object_version later_than) {
+        return servers_.revision() > later_than ? servers_.snapshot() : registry_snapshot{};
+    };
     return it;
 }
 
@@ -97,16 +110,26 @@
     if (const auto started = server_.listen(address_); !started)
         return started;
     membership_.start();
-    feed_.start();
     seek_peers_configuration();
     return {};
 }
 
+void cluster::on_store_reached(bool reached) {
+    reached_ = reached;
+    registry_.on_store_reached(reached);
+    if (!reached)
+        seek_peers_configuration();
+}
+
 void cluster::seek_peers_configuration() {
-    if (spread_.is_complete())
+    if (seeking_ || (spread_.is_complete() && reached_))
         return;
+    seeking_ = true;
     spread_.pull_from_peers();
-    clock_.timers().schedule_after(peer_ask_period, [this] { seek_peers_configuration(); });
+    clock_.timers().schedule_after(peer_ask_period, [this] {
+        seeking_ = false;
+        seek_peers_configuration();
+    });
 }
 
 bool cluster::is_relay() const {
@@ -116,9 +139,4 @@
     return std::find(relays.begin(), relays.end(), self.address) != relays.end();
 }
 
-void cluster::on_changed() {
-    hooks_.live_changed(static_cast<std::uint32_t>(membership_.live().size()));
-    feed_.on_duty_changed();
-}
-
 } // namespace pollengrade
--- a/packages/daemon/cluster.h
+++ b/packages/daemon/cluster.h
@@ -1,4 +1,4 @@
-/** @file cluster.h This node among the others: membership, spread of configuration, duty as a relay. */
+/** @file cluster.h This node among the others: membership, and what is spread from node to node. */
 #pragma once
 
 #include <cstdint>
@@ -10,10 +10,9 @@
 #include "core/base/metrics.h"
 #include "core/cluster/config_spread.h"
 #include "core/cluster/membership.h"
+#include "core/cluster/registry_spread.h"
 #include "core/config/config_store.h"
 #include "core/config/node_settings.h"
-#include "daemon/config_feed.h"
-#include "http/platform_client.h"
 #include "peer/kj_loop.h"
 #include "peer/peer_client.h"
 #include "peer/peer_server.h"
@@ -30,36 +29,52 @@
 /** Everything between this node and the others. */
 class cluster {
 public:
+    /**
+     * @param settings what the node is told
+     * @param clock the process's clock
+     * @param log the event log
+     * @param counts the counters
+     * @param store configuration known
+     * @param servers the registry known
+     * @param random random numbers
+     * @param hooks the node
+     */
     cluster(const node_settings& settings, loop_clock& clock, event_log& log, metrics& counts,
-            platform_client& platform, config_store& store, const std::function<std::uint64_t()>& random,
+            config_store& store, registry& servers, const std::function<std::uint64_t()>& random,
             cluster_hooks hooks);
 
-    /** Listens for peers, joins, and reads configuration. */
+    /** Listens for peers and joins. */
     tl::expected<void, listen_error> start();
     /** Tells others that this node is leaving. */
     void leave() { membership_.leave(); }
+    /** Takes word of whether the platform's store answers. */
+    void on_store_reached(bool reached);
 
     [[nodiscard]] const membership& nodes() const noexcept { return membership_; }
+    [[nodiscard]] config_spread& configuration() noexcept { return spread_; }
     /** @return whether this node watches the platform for its failure domain. */
     [[nodiscard]] bool is_relay() const;
 
 private:
-    void on_changed();
     void seek_peers_configuration();
     membership_hooks make_membership_hooks();
     spread_hooks make_spread_hooks();
+    registry_spread_hooks make_registry_hooks();
     peer_hooks make_peer_hooks();
 
-    loop_clock& clock_;     ///< the process's clock
-    cluster_hooks hooks_;   ///< the node
-    config_store& store_;   ///< configuration known
-    kj_loop kj_loop_;       ///< outlives all that uses promises
-    peer_client client_;    ///< calls to peers
-    membership membership_; ///< which nodes there are
-    config_spread spread_;  ///< configuration from and to peers
-    config_feed feed_;      ///< configuration from the platform
-    peer_server server_;    ///< calls from peers
-    node_address address_;  ///< where peers are served
+    loop_clock& clock_;        ///< the process's clock
+    cluster_hooks hooks_;      ///< the node
+    config_store& store_;      ///< configuration known
+    registry& servers_;        ///< the registry known
+    kj_loop kj_loop_;          ///< outlives all that uses promises
+    peer_client client_;       ///< calls to peers
+    membership membership_;    ///< which nodes there are
+    config_spread spread_;     ///< configuration from and to peers
+    registry_spread registry_; ///< the registry from peers
+    peer_server server_;       ///< calls from peers
+    node_address address_;     ///< where peers are served
+    bool reached_ = true;      ///< whether the platform's store answers
+    bool seeking_ = false;     ///< whether seek_peers_configuration() is scheduled
 };
 
 } // namespace pollengrade
--- /dev/null
+++ b/packages/daemon/document_front.cpp
@@ -0,0 +1,103 @@
+/** @file document_front.cpp How our own interface is joined. */
+#include "daemon/document_front.h"
+
+#include <utility>
+
+#include "http/codec.h"
+#include "runtime/logging.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr duration idle_check_period = std::chrono::milliseconds{20}; ///< while replies are being written
+
+} // namespace
+
+document_front::document_front(const node_settings& settings, socket_poller& poller, router_parts parts)
+    : servers_{parts.servers}, timers_{parts.timers}, address_{settings.callers}, router_{parts},
+      callers_{poller,
+               timers_,
+               parts.random,
+               {[this](caller_request request, answer_hook respond) {
+                    return router_.submit(std::move(request), std::move(respond));
+                },
+                [this](run_id id) { router_.abandon(id); }, [this] { return is_ready(); }}} {}
+
+bool document_front::apply(const config_entry& entry) {
+    const std::string what = entry.key.name + " version " + std::to_string(entry.version.value());
+    switch (entry.key.kind) {
+    case config_kind::service_document: {
+        auto document = parse_service_document(entry.text);
+        if (!document) {
+            log_line(subsystem::config, log_level::warning,
+                     "document " + what + " rejected: " + pollengrade::describe(document.error().front()));
+            return false;
+        }
+        if (document->name.value() != entry.key.name) {
+            log_line(subsystem::config, log_level::warning,
+                     "document " + what + " rejected: it names another service");
+            return false;
+        }
+        router_.apply_document(std::move(*document), entry.version);
+        return true;
+    }
+    case config_kind::shard_maps: {
+        auto maps = decode_shard_maps(entry.text);
+        if (!maps) {
+            log_line(subsystem::config, log_level::warning,
+                     "shard maps " + what + " rejected: " + std::string{to_string(maps.error())});
+            return false;
+        }
+        router_.apply_snapshots(service_name{entry.key.name}, std::move(*maps), entry.version);
+        return true;
+    }
+    case config_kind::routes:
+        break;
+    }
+    return false;
+}
+
+void document_front::on_server(const server_entry& entry, bool removed) {
+    // Shard maps name servers by address; one life of a server is told apart by its start.
+    const upstream_id id{entry.address.value()};
+    const std::string life = entry.name + "@" + std::to_string(entry.started_ms);
+    if (removed || entry.is_leaving)
+        servers_.note_leaving(id, life);
+    else
+        servers_.note_live(id, life);
+}
+
+void document_front::start_leaving() {
+    leaving_ = true;
+    callers_.listener().stop_keeping();
+}
+
+void document_front::stop(std::function<void()> done) {
+    stopped_ = std::move(done);
+    router_.stop([this] { end_when_idle(); });
+}
+
+void document_front::end_when_idle() {
+    callers_.listener().close_idle();
+    if (callers_.listener().open_exchanges() == 0) {
+        if (stopped_)
+            std::exchange(stopped_, nullptr)();
+        return;
+    }
+    timers_.schedule_after(idle_check_period, [this] { end_when_idle(); });
+}
+
+void document_front::describe(json_writer& out) const {
+    out.name("services").begin_array();
+    for (const auto& [name, it] : router_.services()) {
+        out.begin_object().member("name", name.value()).member("document_version", it.version().value());
+        out.member("shard_maps_version", it.snapshots_version().value()).name("index_versions").begin_array();
+        for (const auto& [version, map] : it.snapshots())
+            out.value(version.value());
+        out.end_array().end_object();
+    }
+    out.end_array();
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/daemon/document_front.h
@@ -0,0 +1,44 @@
+/** @file document_front.h Our own interface, driven by service documents. */
+#pragma once
+
+#include "core/config/node_settings.h"
+#include "core/queries/query_router.h"
+#include "daemon/front.h"
+#include "http/caller_server.h"
+
+namespace pollengrade {
+
+/** Serves searches, lookups and orders of documented services. */
+class document_front final : public front {
+public:
+    /**
+     * @param settings what the node is told
+     * @param poller the loop's sockets
+     * @param parts what requests need
+     */
+    document_front(const node_settings& settings, socket_poller& poller, router_parts parts);
+
+    tl::expected<void, listen_error> listen() override { return callers_.listen(address_); }
+    bool apply(const config_entry& entry) override;
+    void on_server(const server_entry& entry, bool removed) override;
+    void on_nodes(std::uint32_t nodes) override { router_.set_holders(holder_count{nodes}); }
+    void set_ready() override { router_.set_ready(); }
+    [[nodiscard]] bool is_ready() const override { return router_.is_ready() && !leaving_; }
+    void start_leaving() override;
+    void stop(std::function<void()> done) override;
+    void describe(json_writer& out) const override;
+    [[nodiscard]] std::size_t running() const override { return router_.running(); }
+
+private:
+    void end_when_idle();
+
+    dispatcher& servers_;           ///< sends attempts
+    timer_queue& timers_;           ///< the clock
+    node_address address_;          ///< where callers are served
+    query_router router_;           ///< services and running requests
+    caller_server callers_;         ///< the front door
+    bool leaving_ = false;          ///< see start_leaving()
+    std::function<void()> stopped_; ///< see stop()
+};
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/daemon/front.h
@@ -0,0 +1,50 @@
+/** @file front.h What a node serves callers with: our own interface, or the users' routes. */
+#pragma once
+
+#include <functional>
+
+#include <tl/expected.hpp>
+
+#include "core/base/event_log.h"
+#include "core/base/metrics.h"
+#include "core/config/config_store.h"
+#include "core/queries/gather.h"
+#include "core/upstreams/server_entry.h"
+#include "net/http_listener.h"
+#include "json/json_view.h"
+
+namespace pollengrade {
+
+/** One interface towards callers. */
+class front {
+public:
+    front() = default;
+    front(const front&) = delete;
+    front& operator=(const front&) = delete;
+    front(front&&) = delete;
+    front& operator=(front&&) = delete;
+    virtual ~front() = default;
+
+    /** Starts to listen. */
+    virtual tl::expected<void, listen_error> listen() = 0;
+    /** Puts a configuration object in force. @return false when its text is wrong */
+    virtual bool apply(const config_entry& entry) = 0;
+    /** Takes a change of the registry. */
+    virtual void on_server(const server_entry& entry, bool removed) = 0;
+    /** Takes the number of running nodes. */
+    virtual void on_nodes(std::uint32_t nodes) = 0;
+    /** All that is needed to serve is held. */
+    virtual void set_ready() = 0;
+    /** @return whether the balancer may send here. */
+    [[nodiscard]] virtual bool is_ready() const = 0;
+    /** From now on not ready, and no connection is kept after its reply; requests are still served. */
+    virtual void start_leaving() = 0;
+    /** Ends once nothing runs any more. @param done called then, once */
+    virtual void stop(std::function<void()> done) = 0;
+    /** Adds what operators see. */
+    virtual void describe(json_writer& out) const = 0;
+    /** @return requests running now. */
+    [[nodiscard]] virtual std::size_t running() const = 0;
+};
+
+} // namespace pollengrade
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -2,15 +2,19 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <sstream>
 #include <string>
+#include <utility>
 
 #include <cxxopts.hpp>
 #include <glib-unix.h>
+#include <unistd.h>
 
 #include "core/config/node_settings.h"
 #include "daemon/node.h"
 #include "runtime/glib_ptr.h"
+#include "runtime/log_writer.h"
 #include "runtime/logging.h"
 #include "runtime/loop_clock.h"
 #include "runtime/program_func.h"
@@ -22,37 +26,107 @@
 
 constexpr int exit_listen = 3; ///< an address cannot be listened on
 
-/** What a termination signal needs. */
-struct termination {
-    node* daemon;
-    GMainLoop* loop;
-};
+constexpr duration settings_check_period = std::chrono::seconds{2}; ///< the file may change without a signal
 
-gboolean on_termination(gpointer data) {
-    const auto* it = static_cast<const termination*>(data);
-    it->daemon->stop([loop = it->loop] { g_main_loop_quit(loop); });
-    return G_SOURCE_CONTINUE;
+/** @return a file's text; nullopt when it cannot be read. */
+std::optional<std::string> read_file(const std::string& path) {
+    const std::ifstream in{path, std::ios::binary};
+    if (!in)
+        return std::nullopt;
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
 }
 
+/** The running daemon, and what signals ask of it. */
+class program {
+public:
+    program(std::string path, std::string text, node_settings settings)
+        : path_{std::move(path)}, text_{std::move(text)}, loop_{g_main_loop_new(nullptr, FALSE)},
+          lines_{clock_.timers(), settings.name, STDOUT_FILENO}, daemon_{std::move(settings), clock_,
+                                                                         system_random()} {
+        daemon_.log().set_sink([this](const event& it) { lines_.write(it); });
+    }
+
+    int run() {
+        if (!daemon_.start()) {
+            log_line(subsystem::node, log_level::error, "cannot listen on one of the addresses in " + path_);
+            return exit_listen;
+        }
+        g_unix_signal_add(SIGTERM, &program::on_termination, this);
+        g_unix_signal_add(SIGINT, &program::on_termination, this);
+        g_unix_signal_add(SIGHUP, &program::on_hangup, this);
+        watch_settings();
+        g_main_loop_run(loop_.get());
+        return EXIT_SUCCESS;
+    }
+
+private:
+    static gboolean on_termination(gpointer self) {
+        auto* it = static_cast<program*>(self);
+        it->clock_.sync();
+        it->daemon_.stop([it] { g_main_loop_quit(it->loop_.get()); });
+        return G_SOURCE_CONTINUE;
+    }
+
+    static gboolean on_hangup(gpointer self) {
+        auto* it = static_cast<program*>(self);
+        it->clock_.sync();
+        it->reload();
+        return G_SOURCE_CONTINUE;
+    }
+
+    void watch_settings() {
+        clock_.timers().schedule_after(settings_check_period, [this] {
+            reload();
+            watch_settings();
+        });
+    }
+
+    /** Reads the settings again; wrong ones leave those in force. */
+    void reload() {
+        auto text = read_file(path_);
+        if (!text || *text == text_)
+            return;
+        text_ = std::move(*text);
+        const auto settings = parse_node_settings(text_);
+        if (settings) {
+            daemon_.reload(*settings);
+            return;
+        }
+        daemon_.log().record(event_kind::settings_rejected, {}, path_,
+                             {{event_key::cause, describe(settings.error().front())}});
+    }
+
+    std::string path_;    ///< of the settings
+    std::string text_;    ///< of the settings last read
+    loop_clock clock_;    ///< the process's clock
+    gmain_loop_ptr loop_; ///< the main loop
+    log_writer lines_;    ///< log lines
+    node daemon_;         ///< the node
+};
+
 int run(int argc, char** argv) {
     cxxopts::Options options{"pollengraded", "A node of the pollengrade query tier."};
     options.add_options()("settings", "INI file with the node's settings (docs/operators/settings.md)",
-                          cxxopts::value<std::string>())("check", "check the settings and end")("help",
-                                                                                                "this text");
+                          cxxopts::value<std::string>())("check", "check the settings and end")(
+        "version", "print the version and end")("help", "this text");
     const auto flags = options.parse(argc, argv);
+    if (flags.count("version") > 0) {
+        std::cout << "pollengraded " << POLLENGRADE_VERSION << "\n";
+        return EXIT_SUCCESS;
+    }
     if (flags.count("help") > 0 || flags.count("settings") == 0) {
         std::cout << options.help();
         return flags.count("help") > 0 ? EXIT_SUCCESS : exit_usage;
     }
     const std::string path = flags["settings"].as<std::string>();
-    const std::ifstream in{path};
-    if (!in) {
+    auto text = read_file(path);
+    if (!text) {
         std::cerr << "pollengraded: cannot read " << path << "\n";
         return exit_usage;
     }
-    std::ostringstream text;
-    text << in.rdbuf();
-    auto settings = parse_node_settings(text.str());
+    auto settings = parse_node_settings(*text);
     if (!settings) {
         for (const settings_error& it : settings.error())
             std::cerr << path << ": " << describe(it) << "\n";
@@ -64,19 +138,7 @@
         std::cerr << path << ": [node] debug: unknown subsystem\n";
         return exit_usage;
     }
-
-    loop_clock clock;
-    const gmain_loop_ptr loop{g_main_loop_new(nullptr, FALSE)};
-    node daemon{std::move(*settings), clock, system_random()};
-    if (!daemon.start()) {
-        log_line(subsystem::node, log_level::error, "cannot listen on one of the addresses in " + path);
-        return exit_listen;
-    }
-    termination on_signal{&daemon, loop.get()};
-    g_unix_signal_add(SIGTERM, &on_termination, &on_signal);
-    g_unix_signal_add(SIGINT, &on_termination, &on_signal);
-    g_main_loop_run(loop.get());
-    return EXIT_SUCCESS;
+    return program{path, std::move(*text), std::move(*settings)}.run();
 }
 
 } // namespace
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -1,166 +1,227 @@
 /** @file node.cpp How a node's parts are joined. */
 #include "daemon/node.h"
 
+#include <algorithm>
 #include <utility>
+#include <variant>
 
+#include "daemon/document_front.h"
+#include "daemon/route_front.h"
 #include "http/codec.h"
-#include "http/json_view.h"
+#include "http/index_codec.h"
+#include "platform/forward_codec.h"
 #include "runtime/logging.h"
+#include "json/json_view.h"
 
 namespace pollengrade {
 
 namespace {
 
-constexpr duration vm_poll_interval = std::chrono::seconds{2}; ///< between two readings of the VM list
-constexpr duration balancer_notice = std::chrono::seconds{2};  ///< until the balancer has seen "not ready"
+constexpr duration balancer_notice =
+    std::chrono::milliseconds{2500};                              ///< until the balancer has missed us twice
+constexpr duration last_moment = std::chrono::milliseconds{500};  ///< kept of the time that a stop may take
+constexpr duration servers_rest = std::chrono::milliseconds{700}; ///< changes of servers come in bursts
+constexpr duration routes_rest = std::chrono::milliseconds{300};  ///< changes of routes are due in seconds
 
 constexpr std::string_view metrics_type =
     "text/plain; version=0.0.4"; ///< of the text form that scrapers read
 
+config_kind config_kind_of(object_kind it) {
+    switch (it) {
+    case object_kind::service_document:
+        return config_kind::service_document;
+    case object_kind::shard_maps:
+        return config_kind::shard_maps;
+    default:
+        return config_kind::routes;
+    }
+}
+
+/** @return how attempts look on the wire: our own form, or the users'. */
+upstream_codec make_codec() {
+    upstream_codec codec;
+    codec.encode = [](const upstream_identity& server, const attempt_request& request, duration left) {
+        if (const auto* own = std::get_if<index_request>(&request.content))
+            return encode_index_request(*own, request.request, left);
+        return encode_forwarded(*std::get<std::shared_ptr<const forwarded_request>>(request.content), server,
+                                left);
+    };
+    codec.decode = [](const attempt_request& request, reply_message reply) {
+        if (std::holds_alternative<index_request>(request.content))
+            return decode_index_reply(reply);
+        return decode_forwarded(request.request, std::move(reply));
+    };
+    return codec;
+}
+
 } // namespace
 
 node::node(node_settings settings, loop_clock& clock, std::function<std::uint64_t()> random)
     : settings_{std::move(settings)}, clock_{clock}, random_{std::move(random)}, log_{wall_now},
-      platform_{clock_, log_, counts_, settings_.platform},
-      upstreams_{clock_,
-                 [this](const upstream_address& address) {
-                     const upstream* server = router_.servers().find(address);
-                     return server == nullptr ? 1U : server->max_in_flight();
-                 },
-                 [this](attempt_id id, attempt_result result) {
-                     router_.servers().complete(id, std::move(result));
-                 }},
-      router_{{clock_.timers(),
-               log_,
-               counts_,
-               random_,
-               wall_now,
-               {[this](attempt_id id, const attempt_request& request) { upstreams_.transmit(id, request); },
-                [this](attempt_id id) { upstreams_.abort(id); }},
-               platform_.claim_hooks(),
-               holder_count{1}}},
-      store_{[this](const config_entry& entry) { return apply(entry); }},
+      poller_{clock_}, platform_{poller_, clock_.timers(), log_, counts_, settings_.platform},
+      servers_{
+          clock_.timers(), log_, counts_, random_, settings_.domain, upstream_network::hooks_of(network_)},
+      registry_{clock_.timers(), log_, counts_,
+                [this](const server_entry& entry, bool removed) { front_->on_server(entry, removed); }},
+      store_{[this](const config_entry& entry) { return front_->apply(entry); }}, front_{make_front()},
       cluster_{settings_,
                clock_,
                log_,
                counts_,
-               platform_,
                store_,
+               registry_,
                random_,
-               {[this] { on_configured(); },
-                [this](std::uint32_t live) { router_.set_holders(holder_count{live}); }}},
-      callers_{clock_,
-               random_,
-               {[this](caller_request request, answer_hook respond) {
-                    return router_.submit(std::move(request), std::move(respond));
-                },
-                [this](run_id id) { router_.abandon(id); }, [this] { return is_ready(); }}},
+               {[this] { check_complete(); },
+                [this](std::uint32_t live) {
+                    front_->on_nodes(live);
+                    for (const auto& it : feeds_)
+                        it->on_duty_changed();
+                }}},
       operators_{
+          poller_,
+          clock_.timers(),
           {{"/metrics", {std::string{metrics_type}, [this] { return counts_.render(); }}},
            {"/status", {"application/json", [this] { return status() + "\n"; }}},
            {"/timeline", {"application/json", [this] { return encode_events(settings_.name, log_) + "\n"; }}},
-           {"/healthz", {"application/json", [] { return std::string{"{\"healthy\":true}\n"}; }}}}} {}
+           {"/healthz", {"application/json", [] { return std::string{"{\"healthy\":true}\n"}; }}}}} {
+    network_ = std::make_unique<upstream_network>(poller_, clock_.timers(), servers_, make_codec());
+    if (settings_.form == interface_form::routes) {
+        add_feed(object_kind::routes, routes_rest);
+    } else {
+        add_feed(object_kind::service_document, duration{0});
+        add_feed(object_kind::shard_maps, duration{0});
+    }
+    add_feed(object_kind::servers, servers_rest);
+}
+
+std::unique_ptr<front> node::make_front() {
+    const run_context context{clock_.timers(), servers_, log_, counts_};
+    if (settings_.form == interface_form::routes)
+        return std::make_unique<route_front>(settings_, poller_, context);
+    return std::make_unique<document_front>(settings_, poller_,
+                                            router_parts{servers_, clock_.timers(), log_, counts_, random_,
+                                                         wall_now, platform_.claim_hooks(), holder_count{1}});
+}
+
+void node::add_feed(object_kind kind, duration rest) {
+    feed_hooks hooks;
+    hooks.list = [this, kind](feed_hooks::listed done) { platform_.list(kind, std::move(done)); };
+    hooks.watch = [this, kind](object_version after, feed_hooks::watched done) {
+        platform_.watch(kind, after, std::move(done));
+    };
+    hooks.replaced = [this, kind](const object_list& list) { on_feed_objects(kind, list); };
+    hooks.changed = [this, kind](const object_changes& changes) { on_feed_changes(kind, changes); };
+    hooks.reached = [this](bool reached) { on_store_reached(reached); };
+    // Servers' entries are not passed on between nodes while the store answers: every node watches them.
+    const bool is_relayed = settings_.form == interface_form::documents && kind != object_kind::servers;
+    hooks.is_on_duty = [this, is_relayed] { return !is_relayed || cluster_.is_relay(); };
+    feeds_.push_back(std::make_unique<object_feed>(clock_.timers(), random_, rest, std::move(hooks)));
+}
 
 tl::expected<void, listen_error> node::start() {
-    log_.record(event_kind::node_started, {}, settings_.name);
+    log_.record(
+        event_kind::node_started, {}, settings_.name,
+        {{event_key::address, settings_.callers.value()}, {event_key::domain, settings_.domain.value()}});
     if (const auto started = operators_.listen(settings_.operators); !started)
         return started;
-    if (const auto started = callers_.listen(settings_.callers); !started)
+    if (const auto started = front_->listen(); !started)
         return started;
     if (const auto started = cluster_.start(); !started)
         return started;
-    poll_vms();
+    for (const auto& it : feeds_)
+        it->start();
     return {};
 }
 
-void node::on_configured() {
-    if (!router_.is_ready() && !leaving_)
-        log_line(subsystem::node, log_level::info, "ready");
-    router_.set_ready();
-}
-
-bool node::apply(const config_entry& entry) {
-    const std::string what = entry.key.name + " version " + std::to_string(entry.version.value());
-    switch (entry.key.kind) {
-    case config_kind::service_document: {
-        auto document = parse_service_document(entry.text);
-        if (!document) {
-            log_line(subsystem::config, log_level::warning,
-                     "document " + what + " rejected: " + describe(document.error().front()));
-            return false;
-        }
-        if (document->name.value() != entry.key.name) {
-            log_line(subsystem::config, log_level::warning,
-                     "document " + what + " rejected: it names another service");
-            return false;
-        }
-        router_.apply_document(std::move(*document), entry.version);
-        log_line(subsystem::config, log_level::info, "document " + what + " in force");
-        return true;
+void node::take_configuration(object_kind kind, const stored_object& object,
+                              std::vector<config_entry>& entries) {
+    if (const auto* text = std::get_if<std::string>(&object.content))
+        entries.push_back({{config_kind_of(kind), object.name}, object.version, *text});
+    else
+        ++counts_.counter("config_unreadable");
+}
+
+void node::on_feed_objects(object_kind kind, const object_list& list) {
+    if (kind == object_kind::servers) {
+        registry_.replace(list);
+    } else {
+        std::vector<config_entry> entries;
+        for (const stored_object& it : list.objects)
+            take_configuration(kind, it, entries);
+        cluster_.configuration().take(entries);
     }
-    case config_kind::shard_maps: {
-        auto maps = decode_shard_maps(entry.text);
-        if (!maps) {
-            log_line(subsystem::config, log_level::warning,
-                     "shard maps " + what + " rejected: " + std::string{to_string(maps.error())});
-            return false;
-        }
-        router_.apply_snapshots(service_name{entry.key.name}, std::move(*maps), entry.version);
-        log_line(subsystem::config, log_level::info, "shard maps " + what + " in force");
-        return true;
+    check_complete();
+}
+
+void node::on_feed_changes(object_kind kind, const object_changes& changes) {
+    if (kind == object_kind::servers) {
+        registry_.apply(changes);
+        return;
     }
+    std::vector<config_entry> entries;
+    for (const object_change& it : changes.changes) {
+        if (!it.removed)
+            take_configuration(kind, it.object, entries);
     }
-    return false;
-}
-
-void node::poll_vms() {
-    platform_.vms([this](const auto& result) {
-        if (result) {
-            for (const vm_record& it : *result) {
-                const upstream_address address{it.address};
-                if (router_.servers().find(address) == nullptr)
-                    continue;
-                if (it.leaving)
-                    router_.servers().note_draining(address, it.incarnation);
-                else
-                    router_.servers().note_live(address, it.incarnation);
-            }
-        }
-        clock_.timers().schedule_after(vm_poll_interval, [this] { poll_vms(); });
-    });
+    cluster_.configuration().take(entries);
+}
+
+void node::on_store_reached(bool reached) {
+    cluster_.on_store_reached(reached);
+}
+
+void node::check_complete() {
+    const bool all_listed =
+        std::all_of(feeds_.begin(), feeds_.end(), [](const auto& it) { return it->is_listed(); });
+    if (all_listed && !cluster_.configuration().is_complete())
+        cluster_.configuration().set_complete();
+    if (cluster_.configuration().is_complete() && registry_.revision() != object_version{})
+        on_configured();
+}
+
+void node::on_configured() {
+    const bool was_ready = front_->is_ready();
+    front_->set_ready();
+    if (!was_ready && front_->is_ready())
+        log_.record(event_kind::node_ready, {}, settings_.name,
+                    {{event_key::revision, registry_.revision().value()}});
 }
 
 void node::stop(std::function<void()> done) {
     if (std::exchange(leaving_, true))
         return;
     stopped_ = std::move(done);
-    log_line(subsystem::node, log_level::info, "stopping: not ready any more, still serving");
+    log_.record(event_kind::node_stopping, {}, settings_.name, {{event_key::in_flight, front_->running()}});
     cluster_.leave();
-    clock_.timers().schedule_after(balancer_notice, [this] {
-        router_.stop([this] {
-            callers_.set_idle_hook([this] { end_when_idle(); });
-            end_when_idle();
-        });
-    });
+    front_->start_leaving();
+    clock_.timers().schedule_after(balancer_notice, [this] { front_->stop([this] { end(); }); });
+    clock_.timers().schedule_after(settings_.grace - last_moment, [this] { end(); });
 }
 
-void node::end_when_idle() {
-    if (callers_.open_exchanges() > 0 || !stopped_)
+void node::end() {
+    if (!stopped_)
         return;
-    log_line(subsystem::node, log_level::info, "stopped");
+    log_.record(event_kind::node_stopped, {}, settings_.name, {{event_key::in_flight, front_->running()}});
     std::exchange(stopped_, nullptr)();
 }
 
+void node::reload(const node_settings& settings) {
+    const bool can_apply = settings.callers == settings_.callers && settings.peers == settings_.peers;
+    log_.record(event_kind::settings_reloaded, {}, settings_.name,
+                {{event_key::outcome, can_apply ? "in_force" : "needs_a_restart"}});
+}
+
 std::string node::status() const {
     json_writer out;
     out.begin_object();
     out.member("node", settings_.name).member("failure_domain", settings_.domain.value());
     out.member("callers", settings_.callers.value()).member("operators", settings_.operators.value());
-    out.member("ready", is_ready())
+    out.member("ready", front_->is_ready())
         .member("leaving", leaving_)
-        .member("running", std::uint64_t{router_.running()});
+        .member("running", std::uint64_t{front_->running()});
     out.member("relay", cluster_.is_relay())
         .member("in_touch", cluster_.nodes().is_in_touch())
+        .member("registry_revision", registry_.revision().value())
         .name("nodes")
         .begin_array();
     for (const member& it : cluster_.nodes().all()) {
@@ -168,19 +229,17 @@
         out.member("operators", it.operators.value()).member("failure_domain", it.domain.value());
         out.member("state", to_string(it.state)).end_object();
     }
-    out.end_array().name("services").begin_array();
-    for (const auto& [name, it] : router_.services()) {
-        out.begin_object().member("name", name.value()).member("document_version", it.version().value());
-        out.member("shard_maps_version", it.snapshots_version().value()).name("index_versions").begin_array();
-        for (const auto& [version, map] : it.snapshots())
-            out.value(version.value());
-        out.end_array().end_object();
-    }
-    out.end_array().name("upstreams").begin_array();
-    for (const auto& [address, it] : router_.servers().upstreams()) {
-        out.begin_object().member("address", address.value()).member("draining", it.is_draining());
-        out.member("usable", it.is_usable(clock_.timers().now())).member("in_flight", it.in_flight());
-        out.end_object();
+    out.end_array();
+    front_->describe(out);
+    out.name("upstreams").begin_array();
+    const time_point now = clock_.timers().now();
+    for (const auto& [id, it] : servers_.upstreams()) {
+        const upstream_condition condition = it.condition(now);
+        out.begin_object().member("id", id.value()).member("address", it.address().value());
+        out.member("draining", it.is_leaving());
+        out.member("usable",
+                   condition == upstream_condition::ready || condition == upstream_condition::doubtful);
+        out.member("connections", it.open_connections()).member("in_flight", it.in_flight()).end_object();
     }
     return out.end_array().end_object().take();
 }
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -3,20 +3,24 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <tl/expected.hpp>
 
 #include "core/base/event_log.h"
 #include "core/base/metrics.h"
+#include "core/cluster/object_feed.h"
 #include "core/config/config_store.h"
 #include "core/config/node_settings.h"
-#include "core/queries/query_router.h"
+#include "core/upstreams/dispatcher.h"
+#include "core/upstreams/registry.h"
 #include "daemon/cluster.h"
-#include "http/caller_server.h"
+#include "daemon/front.h"
 #include "http/operator_server.h"
-#include "http/platform_client.h"
-#include "http/upstream_client.h"
+#include "net/upstream_network.h"
+#include "platform/platform_client.h"
 #include "runtime/loop_clock.h"
 
 namespace pollengrade {
@@ -35,29 +39,42 @@
     tl::expected<void, listen_error> start();
     /** Stops gracefully: no request in flight is cut off. @param done called when nothing is left */
     void stop(std::function<void()> done);
+    /** Takes settings read again; what cannot change in a running node stays as it is. */
+    void reload(const node_settings& settings);
+
+    /** @return the event log, for the sink of log lines. */
+    [[nodiscard]] event_log& log() noexcept { return log_; }
 
 private:
-    bool apply(const config_entry& entry);
+    std::unique_ptr<front> make_front();
+    void add_feed(object_kind kind, duration rest);
+    void on_feed_objects(object_kind kind, const object_list& list);
+    void on_feed_changes(object_kind kind, const object_changes& changes);
+    void take_configuration(object_kind kind, const stored_object& object,
+                            std::vector<config_entry>& entries);
+    void on_store_reached(bool reached);
+    void check_complete();
     void on_configured();
-    void poll_vms();
-    void end_when_idle();
+    void end();
     [[nodiscard]] std::string status() const;
-    [[nodiscard]] bool is_ready() const { return router_.is_ready() && !leaving_; }
-
-    node_settings settings_;                ///< what the node is told
-    loop_clock& clock_;                     ///< the process's clock
-    std::function<std::uint64_t()> random_; ///< random numbers
-    event_log log_;                         ///< the time line
-    metrics counts_;                        ///< the counters
-    platform_client platform_;              ///< the object API
-    upstream_client upstreams_;             ///< the network towards servers
-    query_router router_;                   ///< services and running requests
-    config_store store_;                    ///< configuration known
-    cluster cluster_;                       ///< the other nodes
-    caller_server callers_;                 ///< the front door
-    operator_server operators_;             ///< metrics, status, time line
-    bool leaving_ = false;                  ///< whether stop() has been called
-    std::function<void()> stopped_;         ///< called when nothing is left
+
+    node_settings settings_;                          ///< what the node is told
+    loop_clock& clock_;                               ///< the process's clock
+    std::function<std::uint64_t()> random_;           ///< random numbers
+    event_log log_;                                   ///< decisions and changes of state
+    metrics counts_;                                  ///< the counters
+    socket_poller poller_;                            ///< the loop's sockets
+    platform_client platform_;                        ///< the platform's store
+    std::unique_ptr<upstream_network> network_;       ///< connections to servers
+    dispatcher servers_;                              ///< servers and attempts
+    registry registry_;                               ///< what servers say of themselves
+    config_store store_;                              ///< configuration known
+    std::unique_ptr<front> front_;                    ///< towards callers
+    cluster cluster_;                                 ///< the other nodes
+    std::vector<std::unique_ptr<object_feed>> feeds_; ///< from the platform's store
+    operator_server operators_;                       ///< metrics, status, time line
+    bool leaving_ = false;                            ///< whether stop() has been called
+    std::function<void()> stopped_;                   ///< called when nothing is left
 };
 
 } // namespace pollengrade
--- /dev/null
+++ b/packages/daemon/route_front.h
@@ -0,0 +1,55 @@
+/** @file route_front.h The users' interface: requests are forwarded by routes. */
+#pragma once
+
+#include <unordered_map>
+
+#include "core/config/node_settings.h"
+#include "core/queries/forwarder.h"
+#include "core/upstreams/server_pool.h"
+#include "daemon/front.h"
+#include "net/http_listener.h"
+
+namespace pollengrade {
+
+/** Forwards requests by the routes in force, and tells the balancer whether this node wants traffic. */
+class route_front final : public front {
+public:
+    /**
+     * @param settings what the node is told
+     * @param poller the loop's sockets
+     * @param context what requests share
+     */
+    route_front(const node_settings& settings, socket_poller& poller, run_context context);
+
+    tl::expected<void, listen_error> listen() override;
+    bool apply(const config_entry& entry) override;
+    void on_server(const server_entry& entry, bool removed) override { pool_.on_entry(entry, removed); }
+    void on_nodes(std::uint32_t nodes) override;
+    void set_ready() override { configured_ = true; }
+    [[nodiscard]] bool is_ready() const override;
+    void start_leaving() override;
+    void stop(std::function<void()> done) override;
+    void describe(json_writer& out) const override;
+    [[nodiscard]] std::size_t running() const override { return forwarder_.running(); }
+
+private:
+    void on_request(exchange_id id, request_message message);
+    void on_gone(exchange_id id);
+    [[nodiscard]] caller_limits limits() const;
+    void end_when_idle();
+
+    node_address callers_address_;                 ///< where callers are served
+    node_address readiness_address_;               ///< where the balancer asks
+    budget_settings budget_;                       ///< hedges and retries of all nodes
+    run_context context_;                          ///< what requests share
+    forwarder forwarder_;                          ///< routes and running requests
+    server_pool pool_;                             ///< the servers of routed services
+    std::unordered_map<exchange_id, run_id> runs_; ///< of requests not answered yet
+    http_listener callers_;                        ///< the front door
+    http_listener readiness_;                      ///< the balancer's door
+    bool configured_ = false;                      ///< whether routes and registry are held
+    bool leaving_ = false;                         ///< see start_leaving()
+    std::function<void()> stopped_;                ///< see stop()
+};
+
+} // namespace pollengrade
--- a/packages/http/caller_server.cpp
+++ b/packages/http/caller_server.cpp
@@ -1,17 +1,18 @@
-/** @file caller_server.cpp The front door by libsoup. */
+/** @file caller_server.cpp The front door of our own interface. */
 #include "http/caller_server.h"
 
 #include <array>
 #include <charconv>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 
 #include "core/queries/idempotency_key.h"
 #include "http/codec.h"
-#include "http/http_func.h"
-#include "http/json_view.h"
+#include "http/header_names.h"
+#include "json/json_view.h"
 
 namespace pollengrade {
 
@@ -20,50 +21,65 @@
 constexpr std::uint64_t max_deadline_ms = 60000; ///< a longer deadline is a bad request
 constexpr std::uint64_t max_rows_asked = 1000;   ///< a larger limit is a bad request
 constexpr std::string_view path_prefix = "/v1/"; ///< of every request to a service
-constexpr unsigned too_large_status = 413;       ///< a body over the limit
 constexpr std::int64_t milliseconds_per_second = 1000;
+constexpr std::size_t max_header_bytes = std::size_t{16} * 1024;
+constexpr std::size_t max_connections = 10000; ///< callers' connections at a time
+constexpr duration header_timeout = std::chrono::seconds{10};
+constexpr duration idle_timeout = std::chrono::seconds{60};
+
+constexpr unsigned ok_status = 200;
+constexpr unsigned bad_request_status = 400;
+constexpr unsigned forbidden_status = 403;
+constexpr unsigned not_found_status = 404;
+constexpr unsigned conflict_status = 409;
+constexpr unsigned unavailable_status = 503;
+constexpr unsigned unknown_outcome_status = 504;
 
 unsigned status_of(const answer& it) {
     switch (it.result) {
     case outcome::answered:
     case outcome::partial:
-        return SOUP_STATUS_OK;
+        return ok_status;
     case outcome::refused:
-        return SOUP_STATUS_SERVICE_UNAVAILABLE;
+        return unavailable_status;
     case outcome::unknown:
-        return SOUP_STATUS_GATEWAY_TIMEOUT;
+        return unknown_outcome_status;
     case outcome::invalid:
         break;
     }
     switch (it.reason) {
     case refusal_reason::unknown_service:
-        return SOUP_STATUS_NOT_FOUND;
+        return not_found_status;
     case refusal_reason::orders_forbidden:
-        return SOUP_STATUS_FORBIDDEN;
+        return forbidden_status;
     case refusal_reason::key_reused:
-        return SOUP_STATUS_CONFLICT;
+        return conflict_status;
     default:
-        return SOUP_STATUS_BAD_REQUEST;
+        return bad_request_status;
     }
 }
 
-void respond(SoupServerMessage* message, unsigned status, const std::string& body) {
-    soup_server_message_set_status(message, status, nullptr);
-    soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, body.data(), body.size());
+reply_message json_reply(unsigned status, std::string body) {
+    reply_message message;
+    message.status = status;
+    message.fields.push_back({"Content-Type", "application/json"});
+    message.body = std::move(body);
+    return message;
 }
 
-void respond(SoupServerMessage* message, const answer& it) {
-    SoupMessageHeaders* headers = soup_server_message_get_response_headers(message);
+reply_message reply_of(const answer& it) {
+    reply_message message = json_reply(status_of(it), encode_answer(it) + "\n");
     if (it.retry_after.count() > 0) {
         const std::int64_t seconds =
             (to_milliseconds(it.retry_after) + milliseconds_per_second - 1) / milliseconds_per_second;
-        soup_message_headers_replace(headers, "Retry-After", std::to_string(seconds).c_str());
+        message.fields.push_back({"Retry-After", std::to_string(seconds)});
     }
-    respond(message, status_of(it), encode_answer(it) + "\n");
+    return message;
 }
 
-const char* query_value(GHashTable* query, const char* name) {
-    return query == nullptr ? nullptr : static_cast<const char*>(g_hash_table_lookup(query, name));
+std::optional<std::string> query_value(const decoded_target& target, const std::string& name) {
+    const auto it = target.query.find(name);
+    return it == target.query.end() ? std::nullopt : std::optional{it->second};
 }
 
 /** The parts of "/v1/SERVICE/VERB". */
@@ -83,88 +99,48 @@
     return request_path{std::string{path.substr(0, slash)}, std::string{path.substr(slash + 1)}};
 }
 
-std::string_view body_of(SoupServerMessage* message) {
-    SoupMessageBody* body = soup_server_message_get_request_body(message);
-    return {body->data == nullptr ? "" : body->data, static_cast<std::size_t>(body->length)};
-}
-
 } // namespace
 
-/** One request between its arrival and the last byte of its answer. */
-struct caller_server::exchange {
-    caller_server* owner = nullptr;       ///< the server
-    SoupServerMessage* message = nullptr; ///< the exchange; valid until "finished"
-    std::optional<run_id> run;            ///< the request, once it runs
-    bool answered = false;                ///< whether the answer is set
-    bool finished = false;                ///< whether the exchange is over
-};
-
-caller_server::caller_server(loop_clock& clock, std::function<std::uint64_t()> random, caller_hooks hooks)
-    : clock_{clock}, random_{std::move(random)}, hooks_{std::move(hooks)}, server_{SOUP_SERVER(g_object_new(
-                                                                               SOUP_TYPE_SERVER, nullptr))} {
-    soup_server_add_early_handler(server_.get(), nullptr, &caller_server::on_early, this, nullptr);
-    soup_server_add_handler(server_.get(), nullptr, &caller_server::on_request, this, nullptr);
-}
-
-caller_server::~caller_server() {
-    soup_server_disconnect(server_.get());
-}
+caller_server::caller_server(socket_poller& poller, timer_queue& timers,
+                             std::function<std::uint64_t()> random, caller_hooks hooks)
+    : random_{std::move(random)}, hooks_{std::move(hooks)},
+      listener_{poller,
+                timers,
+                max_connections,
+                {[this](exchange_id id, const request_message& message) { on_request(id, message); },
+                 [this](exchange_id id) {
+                     if (const auto node = runs_.extract(id); !node.empty())
+                         hooks_.abandon(node.mapped());
+                 },
+                 [] {
+                     return caller_limits{{max_header_bytes, max_query_bytes}, header_timeout, idle_timeout};
+                 }}} {}
 
 tl::expected<void, listen_error> caller_server::listen(const node_address& address) {
-    const auto where = to_socket_address(address.value());
-    GError* error = nullptr;
-    soup_server_listen(server_.get(), where.get(), static_cast<SoupServerListenOptions>(0), &error);
-    const gerror_ptr ec{error};
-    if (ec)
-        return tl::unexpected{listen_error::address_in_use_or_denied};
-    return {};
+    return listener_.listen(address.value());
 }
 
-void caller_server::on_early(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer) {
-    SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
-    const SoupEncoding encoding = soup_message_headers_get_encoding(headers);
-    const bool unsized = encoding == SOUP_ENCODING_CHUNKED || encoding == SOUP_ENCODING_EOF;
-    const auto size = soup_message_headers_get_content_length(headers);
-    if (!unsized && size <= static_cast<goffset>(max_query_bytes))
-        return;
-    // Answered before the body is read; the connection cannot be used again.
-    soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection", "close");
-    answer it;
-    it.result = outcome::invalid;
-    it.reason = refusal_reason::bad_request;
-    respond(message, unsized ? static_cast<unsigned>(SOUP_STATUS_LENGTH_REQUIRED) : too_large_status,
-            encode_answer(it) + "\n");
-}
-
-void caller_server::on_request(SoupServer*, SoupServerMessage* message, const char* path, GHashTable* query,
-                               gpointer self) {
-    auto* owner = static_cast<caller_server*>(self);
-    owner->clock_.sync();
-    if (soup_server_message_get_status(message) != 0)
-        return; // Answered by on_early().
-    owner->handle(message, path, query);
-}
-
-void caller_server::handle(SoupServerMessage* message, const std::string& path, GHashTable* query) {
-    if (path == "/healthz") {
-        respond(message, SOUP_STATUS_OK, "{\"healthy\":true}\n");
+void caller_server::on_request(exchange_id id, const request_message& message) {
+    const auto target = decode_target(message.target);
+    if (target && target->path == "/healthz") {
+        listener_.reply(id, json_reply(ok_status, "{\"healthy\":true}\n"));
         return;
     }
-    if (path == "/readyz") {
+    if (target && target->path == "/readyz") {
         const bool ready = hooks_.is_ready();
-        respond(message, ready ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE,
-                ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n");
+        listener_.reply(id, json_reply(ready ? ok_status : unavailable_status,
+                                       ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n"));
         return;
     }
-    auto request = read(message, path, query);
+    auto request = target ? read(message, *target) : tl::unexpected{refusal_reason::bad_request};
     if (request) {
-        run(message, std::move(*request));
+        run(id, std::move(*request));
         return;
     }
     answer it;
     it.result = outcome::invalid;
     it.reason = request.error();
-    respond(message, it);
+    listener_.reply(id, reply_of(it));
 }
 
 request_id caller_server::make_request_id() {
@@ -174,22 +150,19 @@
     return request_id{"r-" + std::string{buf.data(), end}};
 }
 
-tl::expected<caller_request, refusal_reason> caller_server::read(SoupServerMessage* message,
-                                                                 const std::string& path, GHashTable* query) {
-    const auto parts = split_path(path);
+tl::expected<caller_request, refusal_reason> caller_server::read(const request_message& message,
+                                                                 const decoded_target& target) {
+    const auto parts = split_path(target.path);
     if (!parts)
         return tl::unexpected{refusal_reason::bad_request};
-    SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
-    const std::string_view method = soup_server_message_get_method(message);
-
     caller_request request;
     request.service = service_name{parts->service};
-    const char* id = soup_message_headers_get_one(headers, request_id_header);
-    if (id != nullptr && std::string_view{id}.size() > max_request_id_bytes)
+    const std::string_view id = value_of(message.fields, request_id_header);
+    if (id.size() > max_request_id_bytes)
         return tl::unexpected{refusal_reason::bad_request};
-    request.id = id == nullptr ? make_request_id() : request_id{id};
+    request.id = id.empty() ? make_request_id() : request_id{std::string{id}};
 
-    if (const char* text = soup_message_headers_get_one(headers, deadline_ms_header)) {
+    if (const std::string_view text = value_of(message.fields, deadline_ms_header); !text.empty()) {
         const auto n = parse_natural(text);
         if (!n || *n == 0 || *n > max_deadline_ms)
             return tl::unexpected{refusal_reason::bad_request};
@@ -197,19 +170,17 @@
     }
 
     shard_query wanted;
-    if (parts->verb == "search" && method == "GET") {
-        const char* text = query_value(query, "q");
-        const char* limit = query_value(query, "limit");
-        const auto rows = limit == nullptr ? std::uint64_t{0} : parse_natural(limit);
-        if (text == nullptr || std::string_view{text}.size() > max_query_bytes || !rows ||
-            *rows > max_rows_asked)
+    if (parts->verb == "search" && message.method == "GET") {
+        const auto text = query_value(target, "q");
+        const auto rows = parse_natural(query_value(target, "limit").value_or("0"));
+        if (!text || text->size() > max_query_bytes || !rows || *rows > max_rows_asked)
             return tl::unexpected{refusal_reason::bad_request};
         wanted.kind = query_kind::search;
-        wanted.text = text;
+        wanted.text = *text;
         wanted.max_rows = static_cast<std::uint32_t>(*rows);
-    } else if ((parts->verb == "lookup" && method == "GET") ||
-               (parts->verb == "orders" && method == "POST")) {
-        const auto number = parse_natural(query_value(query, "number"));
+    } else if ((parts->verb == "lookup" && message.method == "GET") ||
+               (parts->verb == "orders" && message.method == "POST")) {
+        const auto number = parse_natural(query_value(target, "number").value_or(""));
         if (!number)
             return tl::unexpected{refusal_reason::bad_request};
         wanted.kind = parts->verb == "lookup" ? query_kind::lookup : query_kind::order;
@@ -218,11 +189,11 @@
         return tl::unexpected{refusal_reason::bad_request};
     }
     if (wanted.kind == query_kind::order) {
-        const char* key = soup_message_headers_get_one(headers, idempotency_key_header);
-        if (key == nullptr || !time_of_key(key))
+        const std::string key{value_of(message.fields, idempotency_key_header)};
+        if (!time_of_key(key))
             return tl::unexpected{refusal_reason::key_malformed};
         wanted.idempotency_key = key;
-        wanted.text = std::string{body_of(message)};
+        wanted.text = message.body;
         if (!json_document::parse(wanted.text))
             return tl::unexpected{refusal_reason::bad_request};
     }
@@ -230,34 +201,15 @@
     return request;
 }
 
-void caller_server::run(SoupServerMessage* message, caller_request request) {
-    const auto it = std::make_shared<exchange>();
-    it->owner = this;
-    it->message = message;
-    ++open_;
-    // The signal owns one share of the exchange, the answer's hook another.
-    auto* share = new std::shared_ptr<exchange>{it};
-    g_signal_connect(message, "finished", G_CALLBACK(&caller_server::on_finished), share);
-    soup_server_message_pause(message);
-    it->run = hooks_.submit(std::move(request), [it](const answer& reply) {
-        it->answered = true;
-        if (it->finished)
-            return;
-        respond(it->message, reply);
-        soup_server_message_unpause(it->message);
+void caller_server::run(exchange_id id, caller_request request) {
+    const auto answered = std::make_shared<bool>(false);
+    const run_id run = hooks_.submit(std::move(request), [this, id, answered](const answer& reply) {
+        *answered = true;
+        runs_.erase(id);
+        listener_.reply(id, reply_of(reply));
     });
-}
-
-void caller_server::on_finished(SoupServerMessage*, gpointer data) {
-    const std::unique_ptr<std::shared_ptr<exchange>> share{static_cast<std::shared_ptr<exchange>*>(data)};
-    exchange& it = **share;
-    caller_server& owner = *it.owner;
-    it.finished = true;
-    if (!it.answered && it.run)
-        owner.hooks_.abandon(*it.run);
-    --owner.open_;
-    if (owner.open_ == 0 && owner.idle_)
-        owner.idle_();
+    if (!*answered)
+        runs_[id] = run;
 }
 
 } // namespace pollengrade
--- a/packages/http/codec.cpp
+++ b/packages/http/codec.cpp
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <limits>
 
-#include "http/json_view.h"
+#include "json/json_view.h"
 
 namespace pollengrade {
 
@@ -202,8 +202,10 @@
         out.begin_object();
         out.member("wall_ms", it.stamp.wall_ms).member("counter", it.stamp.counter);
         out.member("kind", to_string(it.kind)).member("request", it.request.value());
-        out.member("subject", it.subject).member("detail", it.detail);
-        out.end_object();
+        out.member("subject", it.subject).name("fields").begin_object();
+        for (const event_field& field : it.fields)
+            out.member(to_string(field.key).data(), field.value);
+        out.end_object().end_object();
     }
     return out.end_array().end_object().take();
 }
--- a/packages/http/operator_server.cpp
+++ b/packages/http/operator_server.cpp
@@ -1,48 +1,56 @@
-/** @file operator_server.cpp Operators' pages by libsoup. */
+/** @file operator_server.cpp Operators' pages. */
 #include "http/operator_server.h"
 
 #include <string_view>
 #include <utility>
 
-#include "http/http_func.h"
-
 namespace pollengrade {
 
-operator_server::operator_server(std::map<std::string, operator_page, std::less<>> pages)
-    : pages_{std::move(pages)}, server_{SOUP_SERVER(g_object_new(SOUP_TYPE_SERVER, nullptr))} {
-    soup_server_add_handler(server_.get(), nullptr, &operator_server::on_request, this, nullptr);
-}
-
-operator_server::~operator_server() {
-    soup_server_disconnect(server_.get());
-}
+namespace {
+
+constexpr std::size_t max_connections = 64; ///< operators and scrapers at a time
+constexpr message_limits request_limits{std::size_t{8} * 1024, std::size_t{1024}};
+constexpr duration header_timeout = std::chrono::seconds{5};
+constexpr duration idle_timeout = std::chrono::seconds{60};
+
+constexpr unsigned ok_status = 200;
+constexpr unsigned not_found_status = 404;
+constexpr unsigned method_not_allowed_status = 405;
+
+} // namespace
+
+operator_server::operator_server(socket_poller& poller, timer_queue& timers,
+                                 std::map<std::string, operator_page, std::less<>> pages)
+    : pages_{std::move(pages)}, listener_{
+                                    poller,
+                                    timers,
+                                    max_connections,
+                                    {[this](exchange_id id, const request_message& message) {
+                                         listener_.reply(id, reply_to(message));
+                                     },
+                                     [](exchange_id) {},
+                                     [] {
+                                         return caller_limits{request_limits, header_timeout, idle_timeout};
+                                     }}} {}
 
 tl::expected<void, listen_error> operator_server::listen(const node_address& address) {
-    const auto where = to_socket_address(address.value());
-    GError* error = nullptr;
-    soup_server_listen(server_.get(), where.get(), static_cast<SoupServerListenOptions>(0), &error);
-    const gerror_ptr ec{error};
-    if (ec)
-        return tl::unexpected{listen_error::address_in_use_or_denied};
-    return {};
+    return listener_.listen(address.value());
 }
 
-void operator_server::on_request(SoupServer*, SoupServerMessage* message, const char* path, GHashTable*,
-                                 gpointer self) {
-    const auto* owner = static_cast<const operator_server*>(self);
-    const auto it = owner->pages_.find(std::string_view{path});
-    if (it == owner->pages_.end()) {
-        soup_server_message_set_status(message, SOUP_STATUS_NOT_FOUND, nullptr);
-        return;
-    }
-    if (std::string_view{soup_server_message_get_method(message)} != "GET") {
-        soup_server_message_set_status(message, SOUP_STATUS_METHOD_NOT_ALLOWED, nullptr);
-        return;
+reply_message operator_server::reply_to(const request_message& message) const {
+    reply_message reply;
+    const std::string_view path = std::string_view{message.target}.substr(0, message.target.find('?'));
+    const auto it = pages_.find(path);
+    if (it == pages_.end()) {
+        reply.status = not_found_status;
+    } else if (message.method != "GET") {
+        reply.status = method_not_allowed_status;
+    } else {
+        reply.status = ok_status;
+        reply.fields.push_back({"Content-Type", it->second.content_type});
+        reply.body = it->second.content();
     }
-    const std::string body = it->second.content();
-    soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
-    soup_server_message_set_response(message, it->second.content_type.c_str(), SOUP_MEMORY_COPY, body.data(),
-                                     body.size());
+    return reply;
 }
 
 } // namespace pollengrade
--- a/packages/http/operator_server.h
+++ b/packages/http/operator_server.h
@@ -5,12 +5,10 @@
 #include <map>
 #include <string>
 
-#include <libsoup/soup.h>
 #include <tl/expected.hpp>
 
 #include "core/base/id_type.h"
-#include "http/caller_server.h"
-#include "runtime/glib_ptr.h"
+#include "net/http_listener.h"
 
 namespace pollengrade {
 
@@ -23,23 +21,22 @@
 /** Serves read-only pages. */
 class operator_server {
 public:
-    /** @param pages by path, "/metrics" for instance */
-    explicit operator_server(std::map<std::string, operator_page, std::less<>> pages);
-    operator_server(const operator_server&) = delete;
-    operator_server& operator=(const operator_server&) = delete;
-    operator_server(operator_server&&) = delete;
-    operator_server& operator=(operator_server&&) = delete;
-    ~operator_server();
+    /**
+     * @param poller the loop's sockets
+     * @param timers the clock
+     * @param pages by path, "/metrics" for instance
+     */
+    operator_server(socket_poller& poller, timer_queue& timers,
+                    std::map<std::string, operator_page, std::less<>> pages);
 
     /** Starts to listen on "IPv4:port". */
     tl::expected<void, listen_error> listen(const node_address& address);
 
 private:
-    static void on_request(SoupServer* server, SoupServerMessage* message, const char* path,
-                           GHashTable* query, gpointer self);
+    [[nodiscard]] reply_message reply_to(const request_message& message) const;
 
     std::map<std::string, operator_page, std::less<>> pages_; ///< by path
-    gobject_ptr<SoupServer> server_;                          ///< the listener
+    http_listener listener_;                                  ///< connections
 };
 
 } // namespace pollengrade
