--- a/packages/http/json_view.cpp
+++ b/packages/json/json_view.cpp
@@ -1,12 +1,12 @@
 /** @file json_view.cpp JSON by json-glib. */
-#include "http/json_view.h"
+#include "json/json_view.h"
 
 namespace pollengrade {
 
 namespace {
 
 /** @return whether no array or object in @p text is nested deeper than the limit; the parser recurses. */
-bool has_bounded_depth(std::string_view text) {
+bool has_bounded_depth(std::string_view text, int max_depth) {
     int depth = 0;
     bool in_text = false;
     for (std::size_t n = 0; n < text.size(); ++n) {
@@ -24,7 +24,7 @@
             ++depth;
         else if (c == ']' || c == '}')
             --depth;
-        if (depth > max_json_depth)
+        if (depth > max_depth)
             return false;
     }
     return true;
@@ -61,6 +61,20 @@
     return views;
 }
 
+std::vector<json_member> json_view::members() const {
+    std::vector<json_member> list;
+    if (!JSON_NODE_HOLDS_OBJECT(node_))
+        return list;
+    JsonObject* object = json_node_get_object(node_);
+    JsonObjectIter position;
+    json_object_iter_init_ordered(&position, object);
+    const char* name = nullptr;
+    JsonNode* value = nullptr;
+    while (json_object_iter_next_ordered(&position, &name, &value) != FALSE)
+        list.push_back({name, json_view{value}});
+    return list;
+}
+
 std::optional<std::int64_t> json_view::integer() const {
     if (!JSON_NODE_HOLDS_VALUE(node_) || json_node_get_value_type(node_) != G_TYPE_INT64)
         return std::nullopt;
@@ -79,6 +93,24 @@
     return json_node_get_boolean(node_) != FALSE;
 }
 
+std::optional<double> json_view::number() const {
+    if (!JSON_NODE_HOLDS_VALUE(node_))
+        return std::nullopt;
+    const GType type = json_node_get_value_type(node_);
+    if (type != G_TYPE_DOUBLE && type != G_TYPE_INT64)
+        return std::nullopt;
+    return json_node_get_double(node_);
+}
+
+std::string json_view::to_json() const {
+    const gchar_ptr text{json_to_string(node_, FALSE)};
+    return std::string{text.get()};
+}
+
+std::optional<double> json_view::number(const char* name) const {
+    return of_member<double>(*this, name, &json_view::number);
+}
+
 std::optional<std::int64_t> json_view::integer(const char* name) const {
     return of_member<std::int64_t>(*this, name, &json_view::integer);
 }
@@ -98,8 +130,8 @@
     return static_cast<std::uint64_t>(*n);
 }
 
-std::optional<json_document> json_document::parse(std::string_view text) {
-    if (text.empty() || !has_bounded_depth(text))
+std::optional<json_document> json_document::parse(std::string_view text, int max_depth) {
+    if (text.empty() || !has_bounded_depth(text, max_depth))
         return std::nullopt;
     gobject_ptr<JsonParser> parser{json_parser_new()};
     const auto size = static_cast<gssize>(text.size());
@@ -152,6 +184,13 @@
     return *this;
 }
 
+json_writer& json_writer::raw(std::string_view text) {
+    const gobject_ptr<JsonParser> parser{json_parser_new()};
+    json_parser_load_from_data(parser.get(), text.data(), static_cast<gssize>(text.size()), nullptr);
+    json_builder_add_value(builder_.get(), json_node_copy(json_parser_get_root(parser.get())));
+    return *this;
+}
+
 std::string json_writer::take() {
     JsonNode* root = json_builder_get_root(builder_.get());
     const gchar_ptr text{json_to_string(root, FALSE)};
--- a/packages/http/json_view.h
+++ b/packages/json/json_view.h
@@ -15,7 +15,10 @@
 
 namespace pollengrade {
 
-inline constexpr int max_json_depth = 16; ///< deepest nesting that is read
+inline constexpr int max_json_depth = 16;   ///< deepest nesting of our own texts
+inline constexpr int deep_json_depth = 200; ///< deepest nesting of texts that others' objects stand in
+
+struct json_member;
 
 /** A value within a document that outlives it. */
 class json_view {
@@ -26,14 +29,21 @@
     [[nodiscard]] std::optional<json_view> member(const char* name) const;
     /** @return the elements of an array; nullopt when this is no array. */
     [[nodiscard]] std::optional<std::vector<json_view>> elements() const;
+    /** @return the members of an object, in order; none when this is no object. */
+    [[nodiscard]] std::vector<json_member> members() const;
     [[nodiscard]] std::optional<std::int64_t> integer() const;
     [[nodiscard]] std::optional<std::string_view> text() const;
     [[nodiscard]] std::optional<bool> boolean() const;
+    /** @return an integer or a fraction. */
+    [[nodiscard]] std::optional<double> number() const;
+    /** @return this value as a JSON text. */
+    [[nodiscard]] std::string to_json() const;
 
     /** The same of a member. */
     [[nodiscard]] std::optional<std::int64_t> integer(const char* name) const;
     [[nodiscard]] std::optional<std::string_view> text(const char* name) const;
     [[nodiscard]] std::optional<bool> boolean(const char* name) const;
+    [[nodiscard]] std::optional<double> number(const char* name) const;
     /** @return a member that must not be negative. */
     [[nodiscard]] std::optional<std::uint64_t> natural(const char* name) const;
 
@@ -41,11 +51,17 @@
     JsonNode* node_; ///< owned by the document
 };
 
+/** One member of an object. */
+struct json_member {
+    std::string name; ///< its name
+    json_view value;  ///< its value
+};
+
 /** A parsed JSON text. */
 class json_document {
 public:
     /** @return the document; nullopt when @p text is not JSON or is nested too deeply. */
-    static std::optional<json_document> parse(std::string_view text);
+    static std::optional<json_document> parse(std::string_view text, int max_depth = max_json_depth);
 
     [[nodiscard]] json_view root() const { return json_view{json_parser_get_root(parser_.get())}; }
 
@@ -70,6 +86,8 @@
     json_writer& value(std::uint32_t it) { return value(static_cast<std::int64_t>(it)); }
     json_writer& value(std::string_view it);
     json_writer& value(bool it);
+    /** Adds a value that is a JSON text already. @pre @p text is valid */
+    json_writer& raw(std::string_view text);
     json_writer& value(const char* it) { return value(std::string_view{it}); }
     json_writer& value(const std::string& it) { return value(std::string_view{it}); }
 
--- /dev/null
+++ b/packages/net/client_connection.cpp
@@ -0,0 +1,188 @@
+/** @file client_connection.cpp Connecting, writing and reading without blocking. */
+#include "net/client_connection.h"
+
+#include <array>
+#include <cassert>
+#include <cerrno>
+#include <utility>
+
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024; ///< for one read, shared by all connections
+
+/** @return room for one read; used up before the next. */
+std::array<char, read_buffer_bytes>& read_buffer() {
+    static std::array<char, read_buffer_bytes> buf;
+    return buf;
+}
+
+connection_end end_of(int code) {
+    return code == ETIMEDOUT || code == EHOSTUNREACH || code == ENETUNREACH ? connection_end::silent
+                                                                            : connection_end::reset;
+}
+
+} // namespace
+
+client_connection::client_connection(socket_poller& poller, std::string_view address, message_limits limits,
+                                     client_connection_hooks hooks)
+    : poller_{poller}, address_{address}, limits_{limits}, hooks_{std::move(hooks)} {}
+
+bool client_connection::connect() {
+    fd_ = start_connect(address_, prompt_silence_limits());
+    if (!fd_.is_valid())
+        return false;
+    watch_ = poller_.add(fd_, {false, true}, [this](socket_events events) { on_events(events); });
+    return true;
+}
+
+void client_connection::send(outgoing_request request) {
+    assert(connected_ && !is_busy());
+    request_ = std::move(request);
+    written_ = 0;
+    parser_.emplace(limits_, !request_.brings_body);
+    state_ = send_state::nothing_written;
+    write();
+    if (fd_.is_valid())
+        update_interest();
+}
+
+void client_connection::close() {
+    watch_.reset();
+    fd_ = unique_fd{};
+}
+
+void client_connection::on_events(socket_events events) {
+    if (!connected_) {
+        on_connect_ended();
+        return;
+    }
+    if (events.readable || events.peer_closed || events.failed) {
+        read();
+        if (!fd_.is_valid())
+            return;
+    }
+    if (events.writable && is_busy())
+        write();
+    if (fd_.is_valid())
+        update_interest();
+}
+
+void client_connection::on_connect_ended() {
+    if (const int code = socket_error(fd_); code != 0) {
+        end(end_of(code));
+        return;
+    }
+    connected_ = true;
+    state_ = send_state::nothing_written;
+    update_interest();
+    hooks_.connected();
+}
+
+void client_connection::write() {
+    const std::size_t header = request_.header.size();
+    const std::size_t total = header + (request_.body ? request_.body->size() : 0);
+    while (written_ < total) {
+        std::array<iovec, 2> pieces{};
+        std::size_t count = 0;
+        if (written_ < header)
+            pieces.at(count++) = {request_.header.data() + written_, header - written_};
+        if (request_.body) {
+            const std::size_t from = written_ > header ? written_ - header : 0;
+            // The call reads only; its type has no const.
+            pieces.at(count++) = {const_cast<char*>(request_.body->data()) + from, // NOLINT(*-const-cast)
+                                  request_.body->size() - from};
+        }
+        msghdr message{};
+        message.msg_iov = pieces.data();
+        message.msg_iovlen = count;
+        const ssize_t n = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
+        if (n < 0)
+            return; // Full, or broken: the next event tells which.
+        written_ += static_cast<std::size_t>(n);
+        if (n > 0 && state_ == send_state::nothing_written)
+            state_ = send_state::something_written;
+    }
+}
+
+void client_connection::read() {
+    auto& buf = read_buffer();
+    for (;;) {
+        const ssize_t n = ::recv(fd_.get(), buf.data(), buf.size(), 0);
+        if (n < 0 && would_block())
+            return;
+        if (n < 0) {
+            end(end_of(errno));
+            return;
+        }
+        if (n == 0) {
+            const bool is_whole_by_end = parser_ && parser_->end();
+            if (is_whole_by_end)
+                finish_reply(false);
+            else
+                end(connection_end::closed);
+            return;
+        }
+        if (!take_bytes({buf.data(), static_cast<std::size_t>(n)}))
+            return;
+        if (static_cast<std::size_t>(n) < buf.size())
+            return; // Drained: the next event tells of more.
+    }
+}
+
+bool client_connection::take_bytes(std::string_view bytes) {
+    if (!is_busy()) {
+        end(connection_end::stray);
+        return false;
+    }
+    state_ = send_state::reply_begun;
+    while (!bytes.empty()) {
+        const auto used = parser_->feed(bytes);
+        if (!used) {
+            end(connection_end::unreadable);
+            return false;
+        }
+        bytes.remove_prefix(*used);
+        if (parser_->stage() != parse_stage::whole)
+            return true;
+        if (parser_->is_interim()) {
+            parser_.emplace(limits_, !request_.brings_body);
+            continue;
+        }
+        finish_reply(bytes.empty());
+        return false;
+    }
+    return true;
+}
+
+void client_connection::finish_reply(bool is_clean) {
+    const std::size_t total = request_.header.size() + (request_.body ? request_.body->size() : 0);
+    const bool was_sent_whole = written_ == total;
+    reply_message reply = parser_->take();
+    reply.keep_alive = reply.keep_alive && is_clean && was_sent_whole;
+    const bool kept = reply.keep_alive;
+    parser_.reset();
+    request_ = {};
+    state_ = send_state::nothing_written;
+    if (!kept) {
+        // Nothing may follow on a connection in doubt: it ends before its reply is told.
+        close();
+    }
+    hooks_.replied(std::move(reply));
+}
+
+void client_connection::end(connection_end why) {
+    close();
+    hooks_.ended(why);
+}
+
+void client_connection::update_interest() {
+    const std::size_t total = request_.header.size() + (request_.body ? request_.body->size() : 0);
+    watch_.set_interest({true, is_busy() && written_ < total});
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/net/message_writer.cpp
@@ -0,0 +1,95 @@
+/** @file message_writer.cpp Start lines and header lines. */
+#include "net/message_writer.h"
+
+#include <algorithm>
+#include <array>
+#include <ostream>
+#include <string>
+
+#include <boost/beast/http/status.hpp>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> hop_by_hop_names{
+    "Connection",          "Keep-Alive",       "Proxy-Authenticate",
+    "Proxy-Authorization", "Proxy-Connection", "TE",
+    "Transfer-Encoding",   "Trailer",          "Upgrade"};
+constexpr std::string_view length_name = "Content-Length";
+constexpr std::size_t usual_header_bytes = 512; ///< room made ahead
+constexpr unsigned no_content_status = 204;
+constexpr unsigned not_modified_status = 304;
+
+std::string_view trim(std::string_view text) {
+    constexpr std::string_view space = " \t";
+    const auto first = text.find_first_not_of(space);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(space) - first + 1);
+}
+
+/** @return whether @p list, separated by commas, has @p name. */
+bool names(std::string_view list, std::string_view name) {
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        if (is_same_name(trim(list.substr(0, comma)), name))
+            return true;
+        list = comma == std::string_view::npos ? std::string_view{} : list.substr(comma + 1);
+    }
+    return false;
+}
+
+} // namespace
+
+bool is_hop_by_hop(std::string_view name) {
+    return std::any_of(hop_by_hop_names.begin(), hop_by_hop_names.end(),
+                       [name](std::string_view it) { return is_same_name(it, name); });
+}
+
+void remove_hop_by_hop(message_fields& fields) {
+    std::string listed;
+    for (const message_field& it : fields) {
+        if (is_same_name(it.name, "Connection"))
+            listed += "," + it.value;
+    }
+    std::erase_if(fields, [&](const message_field& it) {
+        return is_hop_by_hop(it.name) || is_same_name(it.name, length_name) ||
+               (!listed.empty() && names(listed, it.name));
+    });
+}
+
+void append_field(std::string& buf, std::string_view name, std::string_view value) {
+    buf.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string encode_reply(const reply_message& message, bool keeps, bool brings_body) {
+    std::string buf;
+    buf.reserve(usual_header_bytes + message.body.size());
+    const auto reason =
+        boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(message.status));
+    buf.append("HTTP/1.1 ").append(std::to_string(message.status)).append(" ");
+    buf.append(reason.data(), reason.size()).append("\r\n");
+    for (const message_field& it : message.fields)
+        append_field(buf, it.name, it.value);
+    const bool is_bare = message.status == no_content_status || message.status == not_modified_status;
+    if (!is_bare)
+        append_field(buf, length_name, std::to_string(message.body.size()));
+    if (!keeps)
+        append_field(buf, "Connection", "close");
+    buf.append("\r\n");
+    if (brings_body && !is_bare)
+        buf.append(message.body);
+    return buf;
+}
+
+void append_request_header(std::string& buf, const request_message& message, std::size_t body_size) {
+    buf.append(message.method).append(" ").append(message.target).append(" HTTP/1.1\r\n");
+    for (const message_field& it : message.fields)
+        append_field(buf, it.name, it.value);
+    const bool has_length = body_size > 0 || message.method == "POST" || message.method == "PUT";
+    if (has_length)
+        append_field(buf, length_name, std::to_string(body_size));
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/net/socket_func.cpp
@@ -0,0 +1,113 @@
+/** @file socket_func.cpp TCP sockets by the system's calls. */
+#include "net/socket_func.h"
+
+#include <cerrno>
+#include <charconv>
+#include <cstdint>
+#include <string>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr int listen_backlog = 512; ///< connections waiting to be accepted
+
+sockaddr_in to_sockaddr(std::string_view address) {
+    const auto colon = address.find(':');
+    sockaddr_in it{};
+    it.sin_family = AF_INET;
+    const std::string_view port = address.substr(colon + 1);
+    std::uint16_t number = 0;
+    std::from_chars(port.data(), port.data() + port.size(), number);
+    it.sin_port = htons(number);
+    inet_pton(AF_INET, std::string{address.substr(0, colon)}.c_str(), &it.sin_addr);
+    return it;
+}
+
+const sockaddr* generic(const sockaddr_in& it) {
+    return reinterpret_cast<const sockaddr*>(&it); // NOLINT(*-reinterpret-cast): the socket API's form
+}
+
+unique_fd make_socket() {
+    return unique_fd{::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+}
+
+void set_option(const unique_fd& fd, int level, int option, int value) {
+    // An option that the system does not know leaves its default, which is slower, not wrong.
+    ::setsockopt(fd.get(), level, option, &value, sizeof value);
+}
+
+void set_limits(const unique_fd& fd, const silence_limits& limits) {
+    using std::chrono::duration_cast;
+    using std::chrono::seconds;
+    set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE,
+               static_cast<int>(duration_cast<seconds>(limits.keepalive_idle).count()));
+    set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL,
+               static_cast<int>(duration_cast<seconds>(limits.keepalive_interval).count()));
+    set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, limits.keepalive_tries);
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(to_milliseconds(limits.unacknowledged)));
+}
+
+} // namespace
+
+unique_fd::~unique_fd() {
+    if (fd_ >= 0)
+        ::close(fd_);
+}
+
+silence_limits prompt_silence_limits() {
+    return {std::chrono::seconds{1}, std::chrono::seconds{1}, 2, std::chrono::seconds{2}};
+}
+
+silence_limits patient_silence_limits() {
+    return {std::chrono::seconds{15}, std::chrono::seconds{5}, 3, std::chrono::seconds{15}};
+}
+
+unique_fd listen_at(std::string_view address) {
+    unique_fd fd = make_socket();
+    set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+    const sockaddr_in where = to_sockaddr(address);
+    if (::bind(fd.get(), generic(where), sizeof where) != 0 || ::listen(fd.get(), listen_backlog) != 0)
+        return unique_fd{};
+    return fd;
+}
+
+unique_fd accept_from(const unique_fd& listener, const silence_limits& limits) {
+    unique_fd fd{::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)};
+    if (fd.is_valid())
+        set_limits(fd, limits);
+    return fd;
+}
+
+unique_fd start_connect(std::string_view address, const silence_limits& limits) {
+    unique_fd fd = make_socket();
+    if (!fd.is_valid())
+        return fd;
+    set_limits(fd, limits);
+    const sockaddr_in where = to_sockaddr(address);
+    if (::connect(fd.get(), generic(where), sizeof where) != 0 && errno != EINPROGRESS)
+        return unique_fd{};
+    return fd;
+}
+
+int socket_error(const unique_fd& fd) {
+    int code = 0;
+    socklen_t size = sizeof code;
+    if (::getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &code, &size) != 0)
+        return errno;
+    return code;
+}
+
+bool would_block() {
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/net/upstream_network.cpp
@@ -0,0 +1,100 @@
+/** @file upstream_network.cpp Connections by ID, and what a reply says of its connection. */
+#include "net/upstream_network.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+#include "net/message_writer.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr message_limits reply_limits{std::size_t{64} * 1024, std::size_t{4} * 1024 * 1024};
+constexpr duration longest_idle = std::chrono::hours{1}; ///< a longer promise is shortened to this
+
+/** @return how long a server keeps an unused connection; zero when the reply does not say. */
+duration idle_limit_of(const reply_message& reply) {
+    constexpr std::string_view key = "timeout=";
+    const std::string_view text = value_of(reply.fields, "Keep-Alive");
+    const auto place = text.find(key);
+    if (place == std::string_view::npos)
+        return duration{0};
+    const char* first = text.data() + place + key.size();
+    std::int64_t seconds = 0;
+    if (std::from_chars(first, text.data() + text.size(), seconds).ec != std::errc{} || seconds < 0)
+        return duration{0};
+    return std::min<duration>(std::chrono::seconds{std::min<std::int64_t>(seconds, 3600)}, longest_idle);
+}
+
+} // namespace
+
+upstream_network::upstream_network(socket_poller& poller, timer_queue& timers, dispatcher& servers,
+                                   upstream_codec codec)
+    : poller_{poller}, timers_{timers}, servers_{servers}, codec_{std::move(codec)} {}
+
+transport_hooks upstream_network::hooks_of(std::unique_ptr<upstream_network>& network) {
+    return {
+        [&network](connection_id id, const upstream_address& address) { return network->open(id, address); },
+        [&network](connection_id id, const upstream_identity& server, const attempt_request& request) {
+            network->send(id, server, request);
+        },
+        [&network](connection_id id) { network->close(id); }};
+}
+
+bool upstream_network::open(connection_id id, const upstream_address& address) {
+    client_connection_hooks hooks;
+    hooks.connected = [this, id] { servers_.on_connected(id); };
+    hooks.replied = [this, id](reply_message reply) { on_replied(id, std::move(reply)); };
+    hooks.ended = [this, id](connection_end why) { on_ended(id, why); };
+    auto connection =
+        std::make_unique<client_connection>(poller_, address.value(), reply_limits, std::move(hooks));
+    if (!connection->connect())
+        return false;
+    links_.emplace(id, link{std::move(connection), {}});
+    return true;
+}
+
+void upstream_network::send(connection_id id, const upstream_identity& server,
+                            const attempt_request& request) {
+    link& it = links_.at(id);
+    it.request = request;
+    // A server is told whole milliseconds: never more than is left.
+    const duration left = std::max(request.deadline - timers_.now(), duration{std::chrono::milliseconds{1}});
+    it.connection->send(codec_.encode(server, request, left));
+}
+
+void upstream_network::close(connection_id id) {
+    const auto node = links_.extract(id);
+    if (!node.empty())
+        retire(std::move(node.mapped()));
+}
+
+void upstream_network::retire(link&& it) {
+    // It may be on the call stack; its socket closes now, the object goes at the loop's next turn.
+    it.connection->close();
+    if (retired_.empty())
+        timers_.schedule_after(duration{0}, [this] { retired_.clear(); });
+    retired_.push_back(std::move(it.connection));
+}
+
+void upstream_network::on_replied(connection_id id, reply_message reply) {
+    const auto found = links_.find(id);
+    const bool kept = reply.keep_alive;
+    const duration idle_limit = idle_limit_of(reply);
+    const attempt_request request = std::exchange(found->second.request, {});
+    if (!kept)
+        close(id);
+    servers_.on_answered(id, codec_.decode(request, std::move(reply)), kept, idle_limit);
+}
+
+void upstream_network::on_ended(connection_id id, connection_end why) {
+    const auto found = links_.find(id);
+    const send_state state = found->second.connection->state();
+    close(id);
+    servers_.on_connection_ended(id, why, state);
+}
+
+} // namespace pollengrade
--- a/packages/peer/peer.capnp
+++ b/packages/peer/peer.capnp
@@ -23,6 +23,20 @@
   configComplete @3 :Bool;
   stampWallMs @4 :Int64;    # the sender's hybrid logical clock
   stampCounter @5 :UInt32;
+  registryChanged @6 :UInt64; # the latest change of a server's entry that the sender knows
+}
+
+# What a server says of itself: core/upstreams/server_entry.h.
+struct ServerEntry {
+  name @0 :Text;
+  startedMs @1 :Int64;      # milliseconds since the epoch
+  service @2 :Text;
+  address @3 :Text;
+  failureDomain @4 :Text;
+  slots @5 :UInt32;
+  isLeaving @6 :Bool;
+  warmupLeftMs @7 :Int64;
+  version @8 :UInt64;       # the platform's revision
 }
 
 struct ConfigEntry {
@@ -39,4 +53,6 @@
   members @2 () -> (members :List(Member));
   push @3 (entries :List(ConfigEntry)) -> ();
   pull @4 (known :List(ConfigEntry)) -> (entries :List(ConfigEntry), complete :Bool);
+  # The registry, if it is later than a revision; else revision 0 and no entries.
+  servers @5 (laterThan :UInt64) -> (revision :UInt64, entries :List(ServerEntry));
 }
--- a/packages/peer/peer.capnp.h
+++ b/packages/peer/peer.capnp.h
@@ -21,6 +21,7 @@
 
 CAPNP_DECLARE_SCHEMA(ac7ef388347b274a);
 CAPNP_DECLARE_SCHEMA(c301247bd356c89f);
+CAPNP_DECLARE_SCHEMA(d192ca4076c7154b);
 CAPNP_DECLARE_SCHEMA(9e8d53481fdb03a3);
 CAPNP_DECLARE_SCHEMA(d688036a158d6553);
 CAPNP_DECLARE_SCHEMA(da04e7596f37c9a2);
@@ -33,6 +34,8 @@
 CAPNP_DECLARE_SCHEMA(84a49e26a4d39046);
 CAPNP_DECLARE_SCHEMA(dc1523ce50a6eb8f);
 CAPNP_DECLARE_SCHEMA(d59837ac6340a168);
+CAPNP_DECLARE_SCHEMA(fbe6527ac43e6687);
+CAPNP_DECLARE_SCHEMA(dd9fa72988ef46a5);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -63,7 +66,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c301247bd356c89f, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c301247bd356c89f, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServerEntry {
+  ServerEntry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d192ca4076c7154b, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -103,6 +121,8 @@
   struct PushResults;
   struct PullParams;
   struct PullResults;
+  struct ServersParams;
+  struct ServersResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -262,6 +282,36 @@
   };
 };
 
+struct Peer::ServersParams {
+  ServersParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fbe6527ac43e6687, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ServersResults {
+  ServersResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dd9fa72988ef46a5, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Member::Reader {
@@ -421,6 +471,8 @@
 
   inline  ::uint32_t getStampCounter() const;
 
+  inline  ::uint64_t getRegistryChanged() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -475,6 +527,9 @@
   inline  ::uint32_t getStampCounter();
   inline void setStampCounter( ::uint32_t value);
 
+  inline  ::uint64_t getRegistryChanged();
+  inline void setRegistryChanged( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -502,6 +557,142 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServerEntry::Reader {
+public:
+  typedef ServerEntry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline  ::int64_t getStartedMs() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
+  inline  ::uint32_t getSlots() const;
+
+  inline bool getIsLeaving() const;
+
+  inline  ::int64_t getWarmupLeftMs() const;
+
+  inline  ::uint64_t getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerEntry::Builder {
+public:
+  typedef ServerEntry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline  ::int64_t getStartedMs();
+  inline void setStartedMs( ::int64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
+  inline  ::int64_t getWarmupLeftMs();
+  inline void setWarmupLeftMs( ::int64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerEntry::Pipeline {
+public:
+  typedef ServerEntry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ConfigEntry::Reader {
 public:
   typedef ConfigEntry Reads;
@@ -632,6 +823,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::pollengrade::wire::Peer::PullParams,  ::pollengrade::wire::Peer::PullResults> pullRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollengrade::wire::Peer::ServersParams,  ::pollengrade::wire::Peer::ServersResults> serversRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -668,6 +861,10 @@
   typedef  ::pollengrade::wire::Peer::PullResults PullResults;
   typedef ::capnp::CallContext<PullParams, PullResults> PullContext;
   virtual ::kj::Promise<void> pull(PullContext context);
+  typedef  ::pollengrade::wire::Peer::ServersParams ServersParams;
+  typedef  ::pollengrade::wire::Peer::ServersResults ServersResults;
+  typedef ::capnp::CallContext<ServersParams, ServersResults> ServersContext;
+  virtual ::kj::Promise<void> servers(ServersContext context);
 
   inline  ::pollengrade::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1472,6 +1669,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::ServersParams::Reader {
+public:
+  typedef ServersParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLaterThan() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ServersParams::Builder {
+public:
+  typedef ServersParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLaterThan();
+  inline void setLaterThan( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ServersParams::Pipeline {
+public:
+  typedef ServersParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ServersResults::Reader {
+public:
+  typedef ServersResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ServersResults::Builder {
+public:
+  typedef ServersResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ServersResults::Pipeline {
+public:
+  typedef ServersResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool Member::Reader::hasAddress() const {
@@ -1781,6 +2140,226 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Greeting::Reader::getRegistryChanged() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Greeting::Builder::getRegistryChanged() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Greeting::Builder::setRegistryChanged( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerEntry::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerEntry::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerEntry::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerEntry::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerEntry::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t ServerEntry::Reader::getStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerEntry::Builder::getStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerEntry::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerEntry::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerEntry::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ServerEntry::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ServerEntry::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ServerEntry::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerEntry::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerEntry::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ServerEntry::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ServerEntry::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ServerEntry::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerEntry::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerEntry::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ServerEntry::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ServerEntry::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t ServerEntry::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerEntry::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerEntry::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServerEntry::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ServerEntry::Reader::getWarmupLeftMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerEntry::Builder::getWarmupLeftMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setWarmupLeftMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServerEntry::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServerEntry::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t ConfigEntry::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2177,6 +2756,68 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Peer::ServersParams::Reader::getLaterThan() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::ServersParams::Builder::getLaterThan() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ServersParams::Builder::setLaterThan( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Peer::ServersResults::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::ServersResults::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ServersResults::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::ServersResults::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ServersResults::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader Peer::ServersResults::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder Peer::ServersResults::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ServersResults::Builder::setEntries( ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder Peer::ServersResults::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::ServersResults::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>> Peer::ServersResults::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/packages/peer/peer_client.cpp
+++ b/packages/peer/peer_client.cpp
@@ -136,4 +136,19 @@
         done);
 }
 
+void peer_client::servers(const node_address& from, object_version later_than,
+                          const registry_spread_hooks::pulled& done) {
+    call<registry_snapshot>(
+        from, transfer_limit,
+        [later_than](wire::Peer::Client& peer) {
+            auto request = peer.serversRequest();
+            request.setLaterThan(later_than.value());
+            return request.send().then([](capnp::Response<wire::Peer::ServersResults>&& reply) {
+                return std::optional{
+                    registry_snapshot{object_version{reply.getRevision()}, read_servers(reply.getEntries())}};
+            });
+        },
+        done);
+}
+
 } // namespace pollengrade
--- a/packages/peer/peer_client.h
+++ b/packages/peer/peer_client.h
@@ -11,6 +11,7 @@
 #include "core/base/event_log.h"
 #include "core/cluster/config_spread.h"
 #include "core/cluster/membership.h"
+#include "core/cluster/registry_spread.h"
 #include "peer/peer.capnp.h"
 #include "runtime/loop_clock.h"
 
@@ -32,6 +33,8 @@
     void push(const node_address& to, const std::vector<config_entry>& entries);
     void pull(const node_address& from, const std::vector<config_version>& known,
               const spread_hooks::pulled& done);
+    void servers(const node_address& from, object_version later_than,
+                 const registry_spread_hooks::pulled& done);
 
 private:
     template <typename Result>
--- a/packages/peer/peer_codec.cpp
+++ b/packages/peer/peer_codec.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <string>
+#include <utility>
 
 #include "core/upstreams/shard_func.h"
 
@@ -53,6 +54,7 @@
     out.setConfigComplete(it.config_complete);
     out.setStampWallMs(stamp.wall_ms);
     out.setStampCounter(stamp.counter);
+    out.setRegistryChanged(it.registry_changed.value());
 }
 
 std::optional<greeting> read_greeting(wire::Greeting::Reader in) {
@@ -64,6 +66,7 @@
     it.updates = read_members(in.getUpdates());
     it.config_digest = in.getConfigDigest();
     it.config_complete = in.getConfigComplete();
+    it.registry_changed = object_version{in.getRegistryChanged()};
     return it;
 }
 
@@ -89,8 +92,8 @@
     for (unsigned n = 0; n < std::min(in.size(), max_wire_entries); ++n) {
         const auto it = in[n];
         const auto text = it.getText();
-        if (it.getKind() > static_cast<std::uint8_t>(config_kind::shard_maps) ||
-            text.size() > max_object_bytes || it.getName().size() > max_name_bytes)
+        if (it.getKind() > static_cast<std::uint8_t>(config_kind::routes) || text.size() > max_object_bytes ||
+            it.getName().size() > max_name_bytes)
             continue;
         list.push_back({{static_cast<config_kind>(it.getKind()), to_string_copy(it.getName())},
                         object_version{it.getVersion()},
@@ -108,4 +111,36 @@
     return list;
 }
 
+void write_server(const server_entry& it, wire::ServerEntry::Builder out) {
+    out.setName(it.name);
+    out.setStartedMs(it.started_ms);
+    out.setService(it.service.value());
+    out.setAddress(it.address.value());
+    out.setFailureDomain(it.domain.value());
+    out.setSlots(it.slots);
+    out.setIsLeaving(it.is_leaving);
+    out.setWarmupLeftMs(it.warmup_left_ms);
+    out.setVersion(it.version.value());
+}
+
+std::vector<server_entry> read_servers(capnp::List<wire::ServerEntry>::Reader in) {
+    std::vector<server_entry> list;
+    for (unsigned n = 0; n < std::min(in.size(), max_wire_servers); ++n) {
+        const auto reader = in[n];
+        server_entry it;
+        it.name = to_string_copy(reader.getName());
+        it.started_ms = reader.getStartedMs();
+        it.service = service_name{to_string_copy(reader.getService())};
+        it.address = upstream_address{to_string_copy(reader.getAddress())};
+        it.domain = failure_domain{to_string_copy(reader.getFailureDomain())};
+        it.slots = reader.getSlots();
+        it.is_leaving = reader.getIsLeaving();
+        it.warmup_left_ms = reader.getWarmupLeftMs();
+        it.version = object_version{reader.getVersion()};
+        if (is_address(it.address.value()) && it.slots > 0)
+            list.push_back(std::move(it));
+    }
+    return list;
+}
+
 } // namespace pollengrade
--- a/packages/peer/peer_codec.h
+++ b/packages/peer/peer_codec.h
@@ -7,12 +7,14 @@
 #include "core/base/event_log.h"
 #include "core/cluster/config_spread.h"
 #include "core/cluster/member_type.h"
+#include "core/upstreams/server_entry.h"
 #include "peer/peer.capnp.h"
 
 namespace pollengrade {
 
-inline constexpr unsigned max_wire_members = 4096; ///< most members read of one message
-inline constexpr unsigned max_wire_entries = 8192; ///< most configuration objects read of one message
+inline constexpr unsigned max_wire_members = 4096;  ///< most members read of one message
+inline constexpr unsigned max_wire_entries = 8192;  ///< most configuration objects read of one message
+inline constexpr unsigned max_wire_servers = 65536; ///< most servers' entries read of one message
 
 void write_member(const member& it, wire::Member::Builder out);
 /** @return the member; nullopt when a field is not what it must be. */
@@ -30,4 +32,8 @@
 /** @return the members; those that are not what they must be are left out. */
 [[nodiscard]] std::vector<member> read_members(capnp::List<wire::Member>::Reader in);
 
+void write_server(const server_entry& it, wire::ServerEntry::Builder out);
+/** @return the entries; those that are not what they must be are left out. */
+[[nodiscard]] std::vector<server_entry> read_servers(capnp::List<wire::ServerEntry>::Reader in);
+
 } // namespace pollengrade
--- a/packages/peer/peer_server.cpp
+++ b/packages/peer/peer_server.cpp
@@ -7,6 +7,7 @@
 #include <kj/debug.h>
 
 #include "core/upstreams/shard_func.h"
+#include "net/socket_func.h"
 #include "peer/peer_codec.h"
 
 namespace pollengrade {
@@ -70,6 +71,17 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> servers(ServersContext context) override {
+        clock_.sync();
+        const registry_snapshot snapshot =
+            hooks_.servers_after(object_version{context.getParams().getLaterThan()});
+        context.getResults().setRevision(snapshot.revision.value());
+        auto out = context.getResults().initEntries(static_cast<unsigned>(snapshot.entries.size()));
+        for (unsigned n = 0; n < out.size(); ++n)
+            write_server(snapshot.entries[n], out[n]);
+        return kj::READY_NOW;
+    }
+
 private:
     loop_clock& clock_; ///< the process's clock
     event_log& log_;    ///< the time line
@@ -96,7 +108,7 @@
 
 gboolean peer_server::on_connection(gint, GIOCondition, gpointer self) {
     auto* it = static_cast<peer_server*>(self);
-    unique_fd fd = accept_from(it->listener_);
+    unique_fd fd = accept_from(it->listener_, patient_silence_limits());
     if (fd.is_valid())
         it->server_.accept(kj::heap<socket_stream>(kj::mv(fd)));
     return G_SOURCE_CONTINUE;
--- a/packages/peer/peer_server.h
+++ b/packages/peer/peer_server.h
@@ -11,7 +11,9 @@
 #include "core/base/event_log.h"
 #include "core/cluster/config_spread.h"
 #include "core/cluster/membership.h"
-#include "http/caller_server.h"
+#include "core/cluster/registry_spread.h"
+#include "net/http_listener.h"
+#include "net/unique_fd.h"
 #include "peer/socket_stream.h"
 #include "runtime/loop_clock.h"
 
@@ -24,6 +26,7 @@
     std::function<std::vector<member>()> members;                                         ///< the whole list
     std::function<void(const std::vector<config_entry>&)> on_push;                        ///< takes objects
     std::function<pull_reply(const std::vector<config_version>&)> on_pull;                ///< gives objects
+    std::function<registry_snapshot(object_version)> servers_after; ///< the registry, if later; else none
 };
 
 /** Serves other nodes over Cap'n Proto RPC. */
--- a/packages/peer/socket_stream.cpp
+++ b/packages/peer/socket_stream.cpp
@@ -2,24 +2,17 @@
 #include "peer/socket_stream.h"
 
 #include <cerrno>
-#include <cstdint>
 
-#include <arpa/inet.h>
 #include <glib-unix.h>
 #include <kj/debug.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <string>
 #include <sys/socket.h>
-#include <unistd.h>
+
+#include "net/socket_func.h"
 
 namespace pollengrade {
 
 namespace {
 
-constexpr int keepalive_seconds = 30; ///< silence after which a connection is asked whether it lives
-constexpr int listen_backlog = 128;   ///< connections waiting to be accepted
-
 /** Fulfils a promise once a descriptor is ready; removes its watch when the promise is dropped. */
 class ready_watch {
 public:
@@ -50,34 +43,8 @@
     return kj::newAdaptedPromise<void, ready_watch>(fd, static_cast<GIOCondition>(condition));
 }
 
-bool would_block() {
-    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
-}
-
-sockaddr_in to_sockaddr(std::string_view address) {
-    const auto colon = address.find(':');
-    sockaddr_in it{};
-    it.sin_family = AF_INET;
-    it.sin_port = htons(static_cast<std::uint16_t>(std::stoi(std::string{address.substr(colon + 1)})));
-    inet_pton(AF_INET, std::string{address.substr(0, colon)}.c_str(), &it.sin_addr);
-    return it;
-}
-
-unique_fd make_socket() {
-    return unique_fd{::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
-}
-
-void set_option(int fd, int level, int option, int value) {
-    ::setsockopt(fd, level, option, &value, sizeof value);
-}
-
 } // namespace
 
-unique_fd::~unique_fd() {
-    if (fd_ >= 0)
-        ::close(fd_);
-}
-
 kj::Promise<std::size_t> socket_stream::tryRead(void* buffer, std::size_t min_bytes, std::size_t max_bytes) {
     return read_more(static_cast<kj::byte*>(buffer), min_bytes, max_bytes, 0);
 }
@@ -124,44 +91,14 @@
     ::shutdown(fd_.get(), SHUT_WR);
 }
 
-unique_fd listen_at(std::string_view address) {
-    unique_fd fd = make_socket();
-    set_option(fd.get(), SOL_SOCKET, SO_REUSEADDR, 1);
-    const sockaddr_in where = to_sockaddr(address);
-    const auto* generic =
-        reinterpret_cast<const sockaddr*>(&where); // NOLINT(*-reinterpret-cast): the socket API's form
-    if (::bind(fd.get(), generic, sizeof where) != 0 || ::listen(fd.get(), listen_backlog) != 0)
-        return unique_fd{-1};
-    return fd;
-}
-
-unique_fd accept_from(const unique_fd& listener) {
-    unique_fd fd{::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)};
-    if (fd.is_valid()) {
-        set_option(fd.get(), IPPROTO_TCP, TCP_NODELAY, 1);
-        // A peer that is gone without a word must not hold its connection here for good.
-        set_option(fd.get(), SOL_SOCKET, SO_KEEPALIVE, 1);
-        set_option(fd.get(), IPPROTO_TCP, TCP_KEEPIDLE, keepalive_seconds);
-        set_option(fd.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, keepalive_seconds * 1000);
-    }
-    return fd;
-}
-
 kj::Promise<kj::Own<kj::AsyncIoStream>> connect_to(std::string_view address) {
-    unique_fd fd = make_socket();
-    set_option(fd.get(), IPPROTO_TCP, TCP_NODELAY, 1);
-    const sockaddr_in where = to_sockaddr(address);
-    const auto* generic =
-        reinterpret_cast<const sockaddr*>(&where); // NOLINT(*-reinterpret-cast): the socket API's form
-    if (::connect(fd.get(), generic, sizeof where) != 0 && errno != EINPROGRESS)
+    unique_fd fd = start_connect(address, prompt_silence_limits());
+    if (!fd.is_valid())
         return KJ_EXCEPTION(DISCONNECTED, "connect failed", errno);
     const int raw = fd.get();
     return when_ready(raw, G_IO_OUT | G_IO_HUP | G_IO_ERR)
         .then([fd = kj::mv(fd)]() mutable -> kj::Promise<kj::Own<kj::AsyncIoStream>> {
-            int code = 0;
-            socklen_t size = sizeof code;
-            ::getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &code, &size);
-            if (code != 0)
+            if (const int code = socket_error(fd); code != 0)
                 return KJ_EXCEPTION(DISCONNECTED, "connect failed", code);
             kj::Own<kj::AsyncIoStream> stream = kj::heap<socket_stream>(kj::mv(fd));
             return kj::mv(stream);
--- a/packages/peer/socket_stream.h
+++ b/packages/peer/socket_stream.h
@@ -3,32 +3,13 @@
 
 #include <cstddef>
 #include <string_view>
-#include <utility>
 
 #include <kj/async-io.h>
 #include <kj/async.h>
 
-namespace pollengrade {
-
-/** Owns a file descriptor. */
-class unique_fd {
-public:
-    explicit unique_fd(int fd) : fd_{fd} {}
-    unique_fd(unique_fd&& other) noexcept : fd_{other.fd_} { other.fd_ = -1; }
-    unique_fd(const unique_fd&) = delete;
-    unique_fd& operator=(const unique_fd&) = delete;
-    unique_fd& operator=(unique_fd&& other) noexcept {
-        std::swap(fd_, other.fd_);
-        return *this;
-    }
-    ~unique_fd();
-
-    [[nodiscard]] int get() const noexcept { return fd_; }
-    [[nodiscard]] bool is_valid() const noexcept { return fd_ >= 0; }
+#include "net/unique_fd.h"
 
-private:
-    int fd_; ///< -1 for none
-};
+namespace pollengrade {
 
 /** A stream over a connected, non-blocking socket. */
 class socket_stream final : public kj::AsyncIoStream {
@@ -48,10 +29,6 @@
     unique_fd fd_; ///< the socket
 };
 
-/** @return a listening, non-blocking socket at "IPv4:port"; invalid when it cannot be had. */
-[[nodiscard]] unique_fd listen_at(std::string_view address);
-/** @return a connected socket, accepted from @p listener; invalid when none waits. */
-[[nodiscard]] unique_fd accept_from(const unique_fd& listener);
 /** Connects to "IPv4:port". @return the stream, once connected */
 [[nodiscard]] kj::Promise<kj::Own<kj::AsyncIoStream>> connect_to(std::string_view address);
 
--- a/packages/runtime/logging.cpp
+++ b/packages/runtime/logging.cpp
@@ -4,7 +4,9 @@
 #include <array>
 #include <bitset>
 #include <cstddef>
+#include <cstdio>
 #include <string>
+#include <utility>
 
 #include <easylogging++.h>
 
@@ -23,6 +25,23 @@
     return it;
 }
 
+std::function<void(std::string_view)>& line_sink() {
+    static std::function<void(std::string_view)> it;
+    return it;
+}
+
+/** Hands the library's finished lines on, in place of its own writing. */
+class line_dispatch : public el::LogDispatchCallback {
+protected:
+    void handle(const el::LogDispatchData* data) override {
+        const std::string line = data->logMessage()->logger()->logBuilder()->build(data->logMessage(), true);
+        if (line_sink())
+            line_sink()(line);
+        else
+            std::fwrite(line.data(), 1, line.size(), stdout);
+    }
+};
+
 bool enable_debug(std::string_view name) {
     if (name == "all") {
         debugged().set();
@@ -47,6 +66,9 @@
     settings.setGlobally(el::ConfigurationType::Format,
                          "%datetime{%Y-%M-%dT%H:%m:%s.%g} " + std::string{program} + " %level %msg");
     el::Loggers::reconfigureAllLoggers(settings);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+        "DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<line_dispatch>("line_dispatch");
     while (!debug.empty()) {
         const auto comma = debug.find(',');
         if (!enable_debug(debug.substr(0, comma)))
@@ -56,6 +78,14 @@
     return true;
 }
 
+void set_line_sink(std::function<void(std::string_view)> sink) {
+    line_sink() = std::move(sink);
+}
+
+void write_line(std::string_view text) {
+    LOG(INFO) << text;
+}
+
 void log_line(subsystem part, log_level level, std::string_view text) {
     const auto n = static_cast<std::size_t>(part);
     const std::string line = std::string{subsystem_names.at(n)} + ": " + std::string{text};
--- a/packages/runtime/logging.h
+++ b/packages/runtime/logging.h
@@ -1,7 +1,8 @@
-/** @file logging.h Log lines of a process: one for each change of state, on standard error. */
+/** @file logging.h Log lines of a process. */
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string_view>
 
 namespace pollengrade {
@@ -20,7 +21,12 @@
  */
 bool start_logging(std::string_view program, std::string_view debug);
 
-/** Writes one line. */
+/** Sets what takes finished lines, their ends included; null for standard output at once. */
+void set_line_sink(std::function<void(std::string_view)> sink);
+
+/** Writes one line about a part of the process. */
 void log_line(subsystem part, log_level level, std::string_view text);
+/** Writes one line as it is, with the time before it. */
+void write_line(std::string_view text);
 
 } // namespace pollengrade
--- a/packages/http/http_func.cpp
+++ b/packages/soup/soup_func.cpp
@@ -1,29 +1,12 @@
-/** @file http_func.cpp Small helpers over libsoup. */
-#include "http/http_func.h"
+/** @file soup_func.cpp Small helpers over libsoup. */
+#include "soup/soup_func.h"
 
 #include <cassert>
-#include <charconv>
+#include <cstdint>
+#include <string>
 
 namespace pollengrade {
 
-std::optional<std::uint64_t> parse_natural(const char* text) {
-    if (text == nullptr)
-        return std::nullopt;
-    const std::string_view digits{text};
-    std::uint64_t n = 0;
-    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), n);
-    if (ec != std::errc{} || end != digits.data() + digits.size())
-        return std::nullopt;
-    return n;
-}
-
-std::string escape_uri(std::string_view text) {
-    const auto* bytes =
-        reinterpret_cast<const guint8*>(text.data()); // NOLINT(*-reinterpret-cast): GLib's bytes
-    const gchar_ptr escaped{g_uri_escape_bytes(bytes, text.size(), nullptr)};
-    return std::string{escaped.get()};
-}
-
 std::string_view view_of(GBytes* bytes) {
     gsize size = 0;
     const void* data = g_bytes_get_data(bytes, &size);
@@ -45,9 +28,8 @@
     const auto colon = address.find(':');
     assert(colon != std::string_view::npos);
     const std::string host{address.substr(0, colon)};
-    const auto port = parse_natural(std::string{address.substr(colon + 1)}.c_str());
-    return gobject_ptr<GSocketAddress>{
-        g_inet_socket_address_new_from_string(host.c_str(), static_cast<guint>(port.value_or(0)))};
+    const auto port = static_cast<guint>(std::stoul(std::string{address.substr(colon + 1)}));
+    return gobject_ptr<GSocketAddress>{g_inet_socket_address_new_from_string(host.c_str(), port)};
 }
 
 } // namespace pollengrade
--- a/standins/standin_upstreams.cpp
+++ b/standins/standin_upstreams.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <sstream>
 #include <string>
@@ -13,13 +14,15 @@
 #include <cxxopts.hpp>
 #include <libsoup/soup.h>
 
-#include "http/http_func.h"
-#include "http/json_view.h"
+#include "http/header_names.h"
+#include "http/uri_func.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
 #include "runtime/program_func.h"
 #include "runtime/random_source.h"
+#include "soup/soup_func.h"
 #include "upstream_server.h"
+#include "json/json_view.h"
 
 namespace pollengrade {
 
@@ -57,6 +60,12 @@
     }
 };
 
+/** @return a number in a control call; nullopt when it is not there. */
+std::optional<std::uint64_t> query_number(GHashTable* query, const char* name) {
+    const char* text = static_cast<const char*>(g_hash_table_lookup(query, name));
+    return text == nullptr ? std::nullopt : parse_natural(text);
+}
+
 /** All servers of the process, and their control page. */
 class standin_upstreams {
 public:
@@ -99,7 +108,7 @@
     bool set(GHashTable* query) {
         const char* server = static_cast<const char*>(g_hash_table_lookup(query, "server"));
         const char* shard = static_cast<const char*>(g_hash_table_lookup(query, "shard"));
-        const auto replica = parse_natural(static_cast<const char*>(g_hash_table_lookup(query, "replica")));
+        const auto replica = query_number(query, "replica");
         for (const auto& it : servers_) {
             if (server != nullptr && it->address() != server)
                 continue;
--- a/standins/upstream_server.cpp
+++ b/standins/upstream_server.cpp
@@ -10,8 +10,10 @@
 #include <netinet/tcp.h>
 
 #include "core/base/id_type.h"
-#include "http/http_func.h"
-#include "http/json_view.h"
+#include "http/header_names.h"
+#include "http/uri_func.h"
+#include "soup/soup_func.h"
+#include "json/json_view.h"
 
 namespace pollengrade {
 
--- a/tests/http/codec_test.cpp
+++ b/tests/http/codec_test.cpp
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "http/codec.h"
-#include "http/json_view.h"
+#include "json/json_view.h"
 
 namespace pollengrade {
 
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -44,7 +44,7 @@
     "$bin_platform" --listen "$platform" >>"$work/platform.log" 2>&1 &
     platform_pid=$!
     started+=("$platform_pid")
-    wait_for 10 curl -sf "http://$platform/v1/vms"
+    wait_for 10 curl -sf "http://$platform/api/objects/servers"
 }
 
 # start_upstreams NAME CONTROL_PORT FLAGS...
@@ -100,6 +100,12 @@
     ctl apply "$work/$service.ini" && ctl apply-shard-maps "$service" "$work/$service.json"
 }
 
+# create_object KIND NAME FILE: puts a text into the platform's store as it is.
+create_object() {
+    python3 -c 'import json,sys; print(json.dumps({"meta": {"name": sys.argv[1]}, "spec": {"text": open(sys.argv[2]).read()}}))' \
+        "$2" "$3" | curl -s -X POST --data-binary @- "http://$platform/api/objects/$1" >/dev/null
+}
+
 # metric NODE NAME: the value of a counter, 0 when it was never used.
 metric() {
     curl -s "http://127.0.0.1:$((8200 + $1))/metrics" | awk -v name="pollengrade_$2" '$1 == name {n = $2} END {print n + 0}'
