Fix: a request whose server never connected was ended twice

Ruled out: memory; the log shows the connection refused just before. Change: send_attempt() only says why nothing is sent; whoever asked settles. The test failed first. Conclusion: traced and mended; 18 tests of forwarded requests join it.

--- a/packages/core/queries/gather.cpp
+++ b/packages/core/queries/gather.cpp
@@ -57,7 +57,9 @@
         }
         const bool may_try = plan_.is_idempotent && !trial_used_;
         const auto purpose = may_try ? placement_purpose::first : placement_purpose::plain;
-        if (send_attempt(n, purpose))
+        if (const auto reason = send_attempt(n, purpose))
+            settle(n, *reason);
+        else
             arm_hedge(n);
     }
     starting_ = false;
@@ -78,20 +80,18 @@
                        [this](attempt_id id) { return !context_.servers.was_sent(id); });
 }
 
-bool gather::send_attempt(std::size_t index, placement_purpose purpose) {
+std::optional<missing_reason> gather::send_attempt(std::size_t index, placement_purpose purpose) {
     shard_progress& shard = shards_[index];
-    const bool is_first = shard.live.empty() && shard.tried.empty();
     attempt_request request;
     request.excluded = asked(shard);
-    if (!is_first && request.excluded.size() >= plan_.max_attempts)
-        return false;
+    if (request.excluded.size() >= plan_.max_attempts)
+        return missing_reason::failed;
     request.set = plan_.targets[index].set;
     const outlook found = context_.servers.outlook_of(request.set, request.excluded, purpose);
-    if (found == outlook::none || found == outlook::full) {
-        if (is_first)
-            settle(index, found == outlook::full ? missing_reason::load_shed : missing_reason::no_replica);
-        return false;
-    }
+    if (found == outlook::none)
+        return missing_reason::no_replica;
+    if (found == outlook::full)
+        return missing_reason::load_shed;
     ++context_.counts.counter("shard_requests_sent");
     request.work = plan_.work;
     request.request = plan_.request;
@@ -107,7 +107,7 @@
         const upstream* sent = server ? context_.servers.find(*server) : nullptr;
         trial_used_ = sent != nullptr && sent->standing().is_doubtful(context_.timers.now());
     }
-    return true;
+    return std::nullopt;
 }
 
 void gather::arm_hedge(std::size_t index) {
@@ -138,7 +138,7 @@
         ++context_.counts.counter("hedges_over_budget");
         return;
     }
-    if (!send_attempt(index, placement_purpose::hedge)) {
+    if (send_attempt(index, placement_purpose::hedge)) {
         budget.give_back(now);
         return;
     }
@@ -205,7 +205,7 @@
         ++context_.counts.counter("retries_over_budget");
         return false;
     }
-    if (!send_attempt(index, placement_purpose::retry)) {
+    if (send_attempt(index, placement_purpose::retry)) {
         if (!is_free)
             budget.give_back(now);
         return false;
--- a/packages/core/queries/gather.h
+++ b/packages/core/queries/gather.h
@@ -102,7 +102,8 @@
     [[nodiscard]] std::uint32_t hedges() const noexcept { return hedges_; }
 
 private:
-    bool send_attempt(std::size_t index, placement_purpose purpose);
+    /** @return nullopt when an attempt is on its way; else why none is. */
+    std::optional<missing_reason> send_attempt(std::size_t index, placement_purpose purpose);
     void arm_hedge(std::size_t index);
     void hedge(std::size_t index);
     void on_end(std::size_t index, const attempt_end& end);
--- /dev/null
+++ b/tests/core/forward_test.cpp
@@ -0,0 +1,342 @@
+/** @file forward_test.cpp Forwarded requests: at most once, true refusals, parts of one version, in time. */
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/queries/forwarder.h"
+#include "core/upstreams/server_pool.h"
+#include "support/fake_network.h"
+#include "support/fake_node.h"
+
+namespace pollengrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr load_budget_limits plenty{1, 100, std::chrono::seconds{10}};
+
+route one_route(bool is_idempotent) {
+    route it;
+    it.name = is_idempotent ? "lookup" : "order";
+    it.host = "a.example";
+    it.prefix = is_idempotent ? "/lookup/" : "/order/";
+    it.is_idempotent = is_idempotent;
+    it.timeout = milliseconds{2000};
+    it.target = milliseconds{400};
+    it.max_attempts = 2;
+    it.destinations = {{service_name{"s0"}, 1}};
+    return it;
+}
+
+route gather_route(std::size_t shards, double least_share) {
+    route it;
+    it.name = "search";
+    it.host = "a.example";
+    it.prefix = "/search/";
+    it.is_idempotent = true;
+    it.timeout = milliseconds{600};
+    it.target = milliseconds{100};
+    it.max_attempts = 2;
+    it.max_records = 3;
+    it.least_share = least_share;
+    for (std::size_t n = 0; n < shards; ++n)
+        it.shards.emplace_back("s" + std::to_string(n));
+    return it;
+}
+
+route_table_ptr table_of(std::uint64_t version, std::vector<route> routes, std::size_t services) {
+    route_table_parts parts;
+    parts.version = object_version{version};
+    parts.routes = std::move(routes);
+    for (std::size_t n = 0; n < services; ++n)
+        parts.services.push_back({service_name{"s" + std::to_string(n)}, 16});
+    parts.limits = {1024, 1024, milliseconds{1000}, milliseconds{1000}};
+    return route_table::make(std::move(parts)).value();
+}
+
+/** Four services of two servers each, all connected, and a forwarder over them. */
+struct fixture {
+    explicit fixture(double least_share = 0.75) {
+        for (int service = 0; service < 4; ++service) {
+            std::vector<upstream_id> members;
+            for (const char* replica : {"a", "b"})
+                members.push_back(network.add("s" + std::to_string(service) + replica));
+            network.servers().set_members(replica_set_name{"s" + std::to_string(service)}, members, 4);
+        }
+        network.connect_all();
+        forwards.apply(table_of(1, {one_route(true), one_route(false), gather_route(4, least_share)}, 4));
+    }
+
+    void submit(const std::string& path) {
+        auto request = std::make_shared<forwarded_request>();
+        request->id = request_id{"r" + std::to_string(++submitted)};
+        request->host = "a.example";
+        request->path = path;
+        forwards.submit(std::move(request), [this](forward_answer it) { answers.push_back(std::move(it)); });
+    }
+
+    void pass(std::int64_t ms) { timers.advance_to(timers.now() + milliseconds{ms}); }
+
+    /** @return requests at the servers of one service. */
+    std::vector<carried_request> at(const std::string& service) {
+        std::vector<carried_request> list = network.requests();
+        std::erase_if(list, [&](const carried_request& it) { return it.attempt.set.value() != service; });
+        return list;
+    }
+
+    /** Answers the first request at a service. */
+    void answer(const std::string& service, const std::string& body = "") {
+        network.answer(at(service).front().connection, good_reply("proof-" + service, body));
+    }
+
+    template <typename T> const T* last() const {
+        return answers.empty() ? nullptr : std::get_if<T>(&answers.back());
+    }
+
+    timer_queue timers = paused_clock();
+    fake_network network{timers};
+    forwarder forwards{{timers, network.servers(), network.log(), network.counts()}, plenty};
+    std::vector<forward_answer> answers;
+    int submitted = 0;
+};
+
+} // namespace
+
+TEST_CASE("a request that waits for a server which never connects ends once, as not run") {
+    timer_queue timers = paused_clock();
+    fake_network network{timers};
+    const upstream_id only = network.add("only");
+    network.servers().set_members(replica_set_name{"s0"}, {only}, 4);
+    forwarder forwards{{timers, network.servers(), network.log(), network.counts()}, plenty};
+    forwards.apply(table_of(1, {one_route(true)}, 1));
+    std::vector<forward_answer> answers;
+    auto request = std::make_shared<forwarded_request>();
+    request->id = request_id{"r"};
+    request->host = "a.example";
+    request->path = "/lookup/x";
+    forwards.submit(std::move(request), [&](forward_answer it) { answers.push_back(std::move(it)); });
+    CHECK(answers.empty());
+    network.refuse_all();
+    timers.advance_to(timers.now() + milliseconds{1});
+    REQUIRE(answers.size() == 1);
+    CHECK(std::holds_alternative<refused_answer>(answers.front()));
+}
+
+TEST_CASE("a gather answers with the greatest records of its parts, and their proofs") {
+    fixture it;
+    it.submit("/search/x");
+    const std::string low(16, 'a');
+    const std::string high(16, 'z');
+    it.answer("s0", low + high);
+    it.answer("s1", std::string(16, 'm') + "short");
+    it.answer("s2", high);
+    CHECK(it.answers.empty());
+    it.answer("s3", low);
+    const auto* answer = it.last<gathered_answer>();
+    REQUIRE(answer != nullptr);
+    CHECK(answer->missing == 0);
+    CHECK(answer->signatures.size() == 4);
+    CHECK(answer->records == high + high + std::string(16, 'm'));
+}
+
+TEST_CASE("near its target a gather stops waiting once enough shards are in, and not before") {
+    fixture it;
+    it.submit("/search/x");
+    it.answer("s0");
+    it.answer("s1");
+    it.pass(94);
+    CHECK(it.answers.empty());
+    it.answer("s2");
+    REQUIRE(it.answers.size() == 1);
+    const auto* answer = it.last<gathered_answer>();
+    REQUIRE(answer != nullptr);
+    CHECK(answer->missing == 1);
+    CHECK(answer->signatures.size() == 3);
+}
+
+TEST_CASE("a shard whose server is late is asked a second time, in time for the target") {
+    fixture it;
+    it.submit("/search/x");
+    for (const char* service : {"s0", "s1", "s2"})
+        it.answer(service);
+    const upstream_id first = it.at("s3").front().to;
+    it.pass(40);
+    const auto open = it.at("s3");
+    REQUIRE(open.size() == 2);
+    CHECK(open[0].to != open[1].to);
+    const auto second =
+        std::find_if(open.begin(), open.end(), [&](const carried_request& one) { return one.to != first; });
+    it.network.answer(second->connection, good_reply("proof"));
+    REQUIRE(it.last<gathered_answer>() != nullptr);
+    CHECK(it.last<gathered_answer>()->missing == 0);
+}
+
+TEST_CASE("a gather that cannot get enough shards is refused at once and sends nothing") {
+    fixture it;
+    for (const char* server : {"s0a", "s0b", "s1a", "s1b"})
+        it.network.servers().note_leaving(upstream_id{server}, {});
+    it.submit("/search/x");
+    const auto* refused = it.last<refused_answer>();
+    REQUIRE(refused != nullptr);
+    CHECK(refused->reason == forward_refusal::no_server);
+    CHECK(refused->retry_after.count() > 0);
+    CHECK(it.network.requests().empty());
+}
+
+TEST_CASE("a part of another request, or one without proof, is never merged") {
+    fixture it;
+    it.submit("/search/x");
+    it.network.answer(it.at("s0").front().connection, failure(attempt_error::wrong_request));
+    it.network.answer(it.at("s0").front().connection, good_reply(""));
+    for (const char* service : {"s1", "s2", "s3"})
+        it.answer(service);
+    REQUIRE(it.last<gathered_answer>() != nullptr);
+    CHECK(it.last<gathered_answer>()->missing == 1);
+}
+
+TEST_CASE("the same proof twice is one part") {
+    fixture it;
+    it.submit("/search/x");
+    it.network.answer(it.at("s0").front().connection, good_reply("same"));
+    it.network.answer(it.at("s1").front().connection, good_reply("same"));
+    it.network.answer(it.at("s1").front().connection, good_reply("same"));
+    it.answer("s2");
+    it.answer("s3");
+    REQUIRE(it.last<gathered_answer>() != nullptr);
+    CHECK(it.last<gathered_answer>()->signatures.size() == 3);
+}
+
+TEST_CASE("a gather follows the routes of its arrival to its end") {
+    fixture it;
+    it.submit("/search/x");
+    it.answer("s0");
+    it.forwards.apply(table_of(2, {gather_route(2, 0.5)}, 4));
+    it.answer("s1");
+    it.answer("s2");
+    CHECK(it.answers.empty());
+    it.answer("s3");
+    REQUIRE(it.last<gathered_answer>() != nullptr);
+    CHECK(it.last<gathered_answer>()->signatures.size() == 4);
+}
+
+TEST_CASE("routes of a lower or equal version change nothing") {
+    fixture it;
+    CHECK_FALSE(it.forwards.apply(table_of(1, {gather_route(2, 0.5)}, 4)));
+    CHECK(it.forwards.apply(table_of(3, {gather_route(2, 0.5)}, 4)));
+    CHECK_FALSE(it.forwards.apply(table_of(2, {gather_route(4, 0.5)}, 4)));
+    it.submit("/order/x");
+    CHECK(it.last<unroutable_answer>() != nullptr);
+}
+
+TEST_CASE("a request that is not idempotent is sent once, whatever becomes of it") {
+    fixture it;
+    it.submit("/order/x");
+    REQUIRE(it.at("s0").size() == 1);
+    it.pass(1000);
+    REQUIRE(it.at("s0").size() == 1);
+    const connection_id used = it.at("s0").front().connection;
+    it.network.end(used, connection_end::reset, send_state::something_written);
+    CHECK(it.at("s0").empty());
+    REQUIRE(it.last<failed_answer>() != nullptr);
+}
+
+TEST_CASE("a request that is not idempotent goes to another server only when the first has not run it") {
+    fixture it;
+    it.submit("/order/x");
+    const upstream_id first = it.at("s0").front().to;
+    it.network.answer(it.at("s0").front().connection, failure(attempt_error::shed));
+    REQUIRE(it.at("s0").size() == 1);
+    CHECK(it.at("s0").front().to != first);
+    it.network.answer(it.at("s0").front().connection, failure(attempt_error::shed));
+    const auto* refused = it.last<refused_answer>();
+    REQUIRE(refused != nullptr);
+    CHECK(refused->reason == forward_refusal::refused_by_all);
+}
+
+TEST_CASE("a connection that ends before anything was written leaves the request free to go elsewhere") {
+    fixture it;
+    it.submit("/order/x");
+    const connection_id used = it.at("s0").front().connection;
+    it.network.end(used, connection_end::closed, send_state::nothing_written);
+    REQUIRE(it.at("s0").size() == 1);
+    it.answer("s0");
+    CHECK(it.last<passed_answer>() != nullptr);
+}
+
+TEST_CASE("a server's failure is passed on when it was the only try, and tried elsewhere when that is safe") {
+    fixture it;
+    forwarded_reply failed;
+    failed.message.status = 500;
+    failed.signature = "proof";
+    it.submit("/order/x");
+    it.network.answer(it.at("s0").front().connection, failed);
+    REQUIRE(it.last<passed_answer>() != nullptr);
+    CHECK(it.last<passed_answer>()->message.status == 500);
+    it.submit("/lookup/x");
+    it.network.answer(it.at("s0").front().connection, failed);
+    REQUIRE(it.at("s0").size() == 1);
+    it.answer("s0");
+    CHECK(it.last<passed_answer>()->message.status == 200);
+}
+
+TEST_CASE("a request without a reply has its answer when its time is over, and not later") {
+    fixture it;
+    it.submit("/order/x");
+    it.pass(1990);
+    CHECK(it.answers.empty());
+    it.pass(10);
+    REQUIRE(it.last<failed_answer>() != nullptr);
+    CHECK(it.last<failed_answer>()->reason == forward_failure::timed_out);
+}
+
+TEST_CASE("servers stop working on a request whose caller has left") {
+    fixture it;
+    it.submit("/search/x");
+    REQUIRE(it.network.requests().size() == 4);
+    it.forwards.abandon(run_id{1});
+    CHECK(it.network.requests().empty());
+    CHECK(it.network.closed().size() == 4);
+    it.pass(1);
+    CHECK(it.forwards.running() == 0);
+    CHECK(it.answers.empty());
+}
+
+TEST_CASE("each service of a weighted route has its share after any number of requests") {
+    traffic_split split;
+    const std::vector<weighted_service> services{
+        {service_name{"x"}, 5}, {service_name{"y"}, 3}, {service_name{"z"}, 2}};
+    std::map<std::string, int> counts;
+    for (int n = 1; n <= 300; ++n) {
+        ++counts[split.next("r", services).value()];
+        for (const weighted_service& one : services) {
+            const double share = one.weight / 10.0;
+            CHECK(std::abs(counts[one.name.value()] - share * n) < 1.5);
+        }
+    }
+}
+
+TEST_CASE("the longest prefix of a host wins; case and port of the host do not count") {
+    route longer = one_route(true);
+    longer.name = "longer";
+    longer.prefix = "/lookup/deep/";
+    const auto table = table_of(1, {one_route(true), longer}, 1);
+    CHECK(table->find("A.Example:80", "/lookup/deep/x")->name == "longer");
+    CHECK(table->find("a.example", "/lookup/deep")->name == "lookup");
+    CHECK(table->find("a.example", "/lookup") == nullptr);
+    CHECK(table->find("b.example", "/lookup/x") == nullptr);
+}
+
+TEST_CASE("least shards: a share of ten, fifteen and of one") {
+    CHECK(least_shards(0.89, 10) == 9);
+    CHECK(least_shards(0.9, 10) == 9);
+    CHECK(least_shards(0.89, 15) == 14);
+    CHECK(least_shards(0.75, 10) == 8);
+    CHECK(least_shards(0, 10) == 1);
+}
+
+} // namespace pollengrade
