Fix: a forgotten server was used again when its last request went silent; pauses between useless connections grow

A connection that came about and was reset at once forgot the growing pause: a full server was tried ten times a second. Change: the silence check ends with keep_connected(), which asks for the server anew; the pause is forgotten with the first good reply.

--- a/packages/core/upstreams/dispatcher.cpp
+++ b/packages/core/upstreams/dispatcher.cpp
@@ -596,14 +596,14 @@
     // Its other connections may have gone silent with this one: a new one tells.
     for (const connection_id it : server->idle_connections())
         drop_connection(*server, it);
+    const bool has_room = server->may_connect(timers_.now());
     for (const request_in_flight& it : flights) {
         const auto found = attempts_.find(it.attempt);
         const bool is_wanted = found != attempts_.end() && found->second.done;
-        if (!is_wanted && !server->may_connect(timers_.now()))
-            abort_attempt(it.attempt);
+        if (!is_wanted && !has_room)
+            abort_attempt(it.attempt); // May be the last that was known of a leaving server.
     }
-    if (!server->is_connecting() && server->may_connect(timers_.now()))
-        connect(*server);
+    keep_connected(id);
 }
 
 void dispatcher::forget_if_done(const upstream_id& id) {
--- a/packages/core/upstreams/upstream_standing.cpp
+++ b/packages/core/upstreams/upstream_standing.cpp
@@ -2,6 +2,7 @@
 #include "core/upstreams/upstream_standing.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pollengrade {
 
@@ -31,6 +32,7 @@
 void upstream_standing::on_reply(time_point now, time_point sent, duration took, duration usual) {
     failures_in_row_ = 0;
     sheds_in_row_ = 0;
+    failed_connects_ = 0;
     failure_share_ -= smoothing * failure_share_;
     if (failing_ && failure_share_ < failing_below)
         failing_ = false;
@@ -87,15 +89,15 @@
 }
 
 bool upstream_standing::on_connected() {
-    const bool news = failed_connects_ > 0;
-    failed_connects_ = 0;
+    // The pause before the next try is forgotten only once a connection has been of use.
     connect_after_ = time_point{};
-    return news;
+    return std::exchange(unreachable_, false);
 }
 
 bool upstream_standing::on_connect_failed(time_point now) {
     connect_after_ = now + doubled(first_connect_pause, failed_connects_, most_connect_doublings);
-    return failed_connects_++ == 0;
+    ++failed_connects_;
+    return !std::exchange(unreachable_, true);
 }
 
 } // namespace pollengrade
--- a/packages/core/upstreams/upstream_standing.h
+++ b/packages/core/upstreams/upstream_standing.h
@@ -28,8 +28,8 @@
     }
     /** @return whether a server in doubt may be sent one request to find out. */
     [[nodiscard]] bool is_trial_due(time_point now) const noexcept { return now >= next_trial_; }
-    /** @return whether no connection is opened before connect_after(), since the last ones failed. */
-    [[nodiscard]] bool is_unreachable() const noexcept { return failed_connects_ > 0; }
+    /** @return whether the last connection failed. */
+    [[nodiscard]] bool is_unreachable() const noexcept { return unreachable_; }
     /** @return when the next connection may be opened. */
     [[nodiscard]] time_point connect_after() const noexcept { return connect_after_; }
 
@@ -65,7 +65,8 @@
     std::uint32_t sheds_in_row_ = 0;    ///< without a good reply between
     time_point next_trial_{};           ///< see is_trial_due()
     std::uint32_t bad_trials_ = 0;      ///< in a row, for growing intervals
-    std::uint32_t failed_connects_ = 0; ///< in a row
+    bool unreachable_ = false;          ///< see is_unreachable()
+    std::uint32_t failed_connects_ = 0; ///< without a good reply between
     time_point connect_after_{};        ///< see connect_after()
 };
 
--- /dev/null
+++ b/tests/core/dispatcher_test.cpp
@@ -0,0 +1,279 @@
+/** @file dispatcher_test.cpp Connections, silence, queues and removals, under any order of events. */
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "runtime/random_source.h"
+#include "support/fake_network.h"
+#include "support/fake_node.h"
+
+namespace pollengrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** A dispatcher with one replica set, and attempts that report their ends here. */
+struct fixture {
+    explicit fixture(std::uint64_t seed = 1) : network{timers, seed} {}
+
+    void publish(const std::vector<upstream_id>& members) {
+        network.servers().set_members(replica_set_name{"set"}, members, 4);
+    }
+
+    attempt_id submit(placement_purpose purpose = placement_purpose::first, std::int64_t deadline_ms = 1000) {
+        attempt_request request;
+        request.set = replica_set_name{"set"};
+        request.work = work_class{"work"};
+        request.request = request_id{"r"};
+        request.deadline = timers.now() + milliseconds{deadline_ms};
+        request.purpose = purpose;
+        request.content = std::make_shared<const forwarded_request>();
+        return network.servers().submit(std::move(request),
+                                        [this](const attempt_end& end) { ends.push_back(end); });
+    }
+
+    /** Lets replies of 5 ms become what is usual. */
+    void settle_usual_time() {
+        for (int n = 0; n < 30; ++n) {
+            submit();
+            pass(5);
+            network.answer(network.requests().front().connection, good_reply("proof"));
+        }
+    }
+
+    void pass(std::int64_t ms) { timers.advance_to(timers.now() + milliseconds{ms}); }
+
+    timer_queue timers = paused_clock();
+    fake_network network;
+    std::vector<attempt_end> ends;
+};
+
+} // namespace
+
+TEST_CASE("one connection to each server is kept open, and opened again when it ends") {
+    fixture it;
+    const upstream_id server = it.network.add("a");
+    it.publish({server});
+    CHECK(it.network.opening() == 1);
+    it.network.connect_all();
+    const connection_id first = it.network.open().front();
+    it.submit();
+    it.network.connect_all();
+    it.network.answer(first, good_reply("proof"), false);
+    CHECK(it.network.open().size() == 1);
+    it.network.end(it.network.open().front(), connection_end::closed, send_state::nothing_written);
+    it.pass(200);
+    CHECK(it.network.opening() == 1);
+}
+
+TEST_CASE("a server never has more connections than its share, whatever waits") {
+    fixture it;
+    it.publish({it.network.add("a", 2)});
+    for (int n = 0; n < 6; ++n)
+        it.submit();
+    it.network.connect_all();
+    CHECK(it.network.requests().size() == 2);
+    CHECK(it.network.servers().connections() == 2);
+    it.network.answer(it.network.requests().front().connection, good_reply("proof"));
+    CHECK(it.network.requests().size() == 2);
+    CHECK(it.ends.size() == 1);
+}
+
+TEST_CASE("what waits goes by priority, then by deadline") {
+    fixture it;
+    it.publish({it.network.add("a", 1)});
+    it.network.connect_all();
+    const attempt_id running = it.submit();
+    const attempt_id late = it.submit(placement_purpose::plain, 900);
+    const attempt_id soon = it.submit(placement_purpose::plain, 500);
+    CHECK(it.network.servers().was_sent(running));
+    it.network.answer(it.network.requests().front().connection, good_reply("proof"));
+    CHECK(it.network.servers().was_sent(soon));
+    CHECK_FALSE(it.network.servers().was_sent(late));
+}
+
+TEST_CASE("a server that ends new connections at once is not tried again and again") {
+    fixture it;
+    it.publish({it.network.add("a")});
+    for (int n = 0; n < 100; ++n) {
+        it.network.connect_all();
+        for (const connection_id id : it.network.open())
+            it.network.end(id, connection_end::reset, send_state::nothing_written);
+        it.pass(10);
+    }
+    // One second of such a server: the pauses between two tries grow from 100 ms.
+    CHECK(it.network.counts().value("connections_opened") <= 5);
+}
+
+TEST_CASE("a connection gone silent costs its request only: a new one shows that the server lives") {
+    fixture it;
+    const upstream_id server = it.network.add("a", 3);
+    it.publish({server});
+    it.network.connect_all();
+    it.submit(placement_purpose::first, 5000);
+    it.network.connect_all();
+    it.pass(1250);
+    CHECK(it.network.servers().find(server)->condition(it.timers.now()) == upstream_condition::silent);
+    CHECK(it.network.opening() == 1);
+    it.network.connect_all();
+    CHECK(it.network.servers().find(server)->condition(it.timers.now()) == upstream_condition::ready);
+    it.submit();
+    CHECK(it.network.requests().size() == 2);
+}
+
+TEST_CASE("a withdrawn request is left to end by itself, and its connection is closed if it does not") {
+    fixture it;
+    const upstream_id server = it.network.add("a");
+    it.publish({server});
+    it.network.connect_all();
+    const attempt_id first = it.submit(placement_purpose::first, 300);
+    const connection_id used = it.network.requests().front().connection;
+    it.network.servers().withdraw(first, withdrawal::superseded);
+    CHECK(it.network.servers().live_attempts() == 0);
+    CHECK(it.network.closed().empty());
+    it.pass(501);
+    CHECK(it.network.closed() == std::vector{used});
+    const attempt_id second = it.submit(placement_purpose::first, 300);
+    it.network.connect_all();
+    const connection_id kept = it.network.requests().front().connection;
+    it.network.servers().withdraw(second, withdrawal::superseded);
+    it.network.answer(kept, good_reply("proof"));
+    it.pass(1000);
+    CHECK(it.network.closed().size() == 1);
+    CHECK(it.ends.empty());
+}
+
+TEST_CASE("a removed server gets nothing new, ends what it has, and is forgotten") {
+    fixture it;
+    const upstream_id leaving = it.network.add("a");
+    const upstream_id staying = it.network.add("b");
+    it.publish({leaving, staying});
+    it.network.connect_all();
+    for (int n = 0; n < 2; ++n)
+        it.submit();
+    it.network.connect_all();
+    it.network.servers().remove_server(leaving);
+    for (int n = 0; n < 4; ++n)
+        it.submit();
+    it.network.connect_all();
+    const auto requests = it.network.requests();
+    for (const carried_request& request : requests)
+        it.network.answer(request.connection, good_reply("proof"));
+    CHECK(it.network.servers().find(leaving) == nullptr);
+    CHECK(it.network.servers().find(staying) != nullptr);
+}
+
+TEST_CASE("a removed server whose last request goes silent is forgotten") {
+    fixture it;
+    const upstream_id server = it.network.add("a", 1);
+    it.publish({server});
+    it.network.connect_all();
+    it.settle_usual_time();
+    const attempt_id last = it.submit();
+    it.network.servers().withdraw(last, withdrawal::superseded);
+    it.network.servers().remove_server(server);
+    it.pass(500);
+    CHECK(it.network.servers().find(server) == nullptr);
+    CHECK(it.network.opening() == 0);
+}
+
+TEST_CASE("any order of events leaves each attempt with one end, and nothing behind") {
+    constexpr std::uint64_t runs = 400;
+    for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+        CAPTURE(seed);
+        fixture it{seed};
+        const auto random = seeded_random(seed);
+        std::vector<upstream_id> members{it.network.add("s0")};
+        it.publish(members);
+        it.network.connect_all();
+        it.settle_usual_time();
+        it.ends.clear();
+        std::vector<attempt_id> submitted;
+        std::size_t withdrawn = 0;
+        int named = 0;
+        dispatcher& servers = it.network.servers();
+        const auto pick = [&](const auto& list) { return list[random() % list.size()]; };
+        for (int step = 0; step < 200; ++step) {
+            switch (random() % 12) {
+            case 0:
+                if (members.size() < 4) {
+                    members.push_back(it.network.add("s" + std::to_string(++named)));
+                    it.publish(members);
+                }
+                break;
+            case 1:
+                if (!members.empty()) {
+                    const upstream_id gone = pick(members);
+                    std::erase(members, gone);
+                    servers.remove_server(gone);
+                }
+                break;
+            case 2:
+                if (!members.empty())
+                    servers.note_leaving(pick(members), {});
+                break;
+            case 3:
+                it.network.connect_all();
+                break;
+            case 4:
+                it.network.refuse_all();
+                break;
+            case 5:
+            case 6: {
+                const auto found = servers.outlook_of(replica_set_name{"set"}, {}, placement_purpose::first);
+                if (found == outlook::immediate || found == outlook::waiting)
+                    submitted.push_back(
+                        it.submit(placement_purpose::first, static_cast<std::int64_t>(50 + random() % 2000)));
+                break;
+            }
+            case 7: {
+                const auto open = it.network.requests();
+                if (!open.empty())
+                    it.network.answer(pick(open).connection,
+                                      random() % 3 == 0 ? failure(static_cast<attempt_error>(
+                                                              random() % attempt_error_count))
+                                                        : good_reply("proof"),
+                                      random() % 4 != 0);
+                break;
+            }
+            case 8: {
+                const auto open = it.network.open();
+                if (!open.empty())
+                    it.network.end(pick(open), static_cast<connection_end>(random() % 5),
+                                   static_cast<send_state>(1 + random() % 3));
+                break;
+            }
+            case 9:
+                if (!submitted.empty()) {
+                    const std::size_t before = servers.live_attempts();
+                    servers.withdraw(pick(submitted),
+                                     random() % 2 == 0 ? withdrawal::superseded : withdrawal::caller_gone);
+                    withdrawn += before - servers.live_attempts();
+                }
+                break;
+            default:
+                it.pass(static_cast<std::int64_t>(random() % 700));
+                break;
+            }
+        }
+        it.pass(10);
+        REQUIRE(it.ends.size() + withdrawn + servers.live_attempts() == submitted.size());
+        for (const upstream_id& id : members)
+            servers.remove_server(id);
+        for (int n = 0; n < 50; ++n) {
+            for (const carried_request& open : it.network.requests())
+                it.network.answer(open.connection, good_reply("proof"));
+            it.network.connect_all();
+            it.pass(500);
+        }
+        CHECK(servers.live_attempts() == 0);
+        CHECK(servers.upstreams().empty());
+        CHECK(servers.connections() == 0);
+    }
+}
+
+} // namespace pollengrade
