--- a/tests/support/fake_network.h
+++ b/tests/support/fake_network.h
@@ -56,7 +56,8 @@
     /** Lets every connection being opened come about, also those that this opens. */
     void connect_all() {
         while (!opening_.empty()) {
-            const connection_id id{opening_.begin()->first};
+            const auto first = opening_.begin();
+            const connection_id id = first->first;
             open_[id] = opening_.begin()->second;
             opening_.erase(opening_.begin());
             servers_.on_connected(id);
