Add: explain a request from log lines, operations pages, layers of core checked

Cause: a complaint must be traced from logs and metrics alone; config and upstreams used each other. Change: admission tells its inputs, a plan its servers, a missing shard whom it asked; pollengradectl explain merges the nodes' lines to the story of one request; docs/OPERATIONS.md on real lines; tools/layers checks who uses whom and that no wire name stands outside of platform/. Ruled out: a line a shard request, ten times the volume.

--- a/packages/core/base/event_log.h
+++ b/packages/core/base/event_log.h
@@ -28,6 +28,7 @@
     request_refused,
     request_ended,
     request_abandoned,
+    snapshot_pinned,
     query_planned,
     query_replanned,
     shard_hedged,
@@ -69,6 +70,7 @@
 enum class event_key : std::uint8_t {
     address,
     age_ms,
+    asked,
     attempts,
     cause,
     code,
@@ -80,11 +82,14 @@
     from,
     hedges,
     in_flight,
+    in_time,
     included,
     kind,
+    least,
     lines,
     missing,
     outcome,
+    reachable,
     reason,
     retry_after_ms,
     revision,
@@ -100,6 +105,7 @@
     took_ms,
     version,
     waited_ms,
+    work,
     count, ///< number of the values above
 };
 
--- a/packages/core/config/node_settings.cpp
+++ b/packages/core/config/node_settings.cpp
@@ -3,7 +3,7 @@
 
 #include <array>
 
-#include "core/upstreams/shard_func.h"
+#include "core/base/address_func.h"
 
 namespace pollengrade {
 
--- a/packages/core/config/object_type.h
+++ b/packages/core/config/object_type.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/base/id_type.h"
-#include "core/upstreams/server_entry.h"
+#include "core/config/server_entry.h"
 
 namespace pollengrade {
 
--- a/packages/core/queries/admission.cpp
+++ b/packages/core/queries/admission.cpp
@@ -13,30 +13,31 @@
 
 } // namespace
 
-std::optional<refused_answer> refuse_early(const dispatcher& servers, const admission_inputs& it) {
-    std::size_t reachable = 0;
-    std::size_t in_time = 0;
+admission_verdict admit(const dispatcher& servers, const admission_inputs& it) {
+    admission_verdict verdict;
     duration shortest_excess = duration::max();
     for (const replica_set_name& set : it.sets) {
         const outlook found = servers.outlook_of(set, {}, placement_purpose::plain);
         if (found == outlook::none)
             continue;
-        ++reachable;
+        ++verdict.reachable;
         if (found == outlook::immediate) {
-            ++in_time;
+            ++verdict.in_time;
             continue;
         }
         const duration wait = servers.expected_wait(set, it.work).value_or(duration{0});
+        verdict.longest_wait = std::max(verdict.longest_wait.value_or(duration{0}), wait);
         if (found == outlook::waiting && wait < it.time_left)
-            ++in_time;
+            ++verdict.in_time;
         else
             shortest_excess = std::min(shortest_excess, wait - it.time_left);
     }
-    if (in_time >= it.least)
-        return std::nullopt;
-    if (reachable < it.least)
-        return refused_answer{forward_refusal::no_server, server_retry_after};
-    return refused_answer{forward_refusal::overload, std::max(least_retry_after, shortest_excess)};
+    if (verdict.reachable < it.least)
+        verdict.refusal = refused_answer{forward_refusal::no_server, server_retry_after};
+    else if (verdict.in_time < it.least)
+        verdict.refusal =
+            refused_answer{forward_refusal::overload, std::max(least_retry_after, shortest_excess)};
+    return verdict;
 }
 
 } // namespace pollengrade
--- a/packages/core/queries/admission.h
+++ b/packages/core/queries/admission.h
@@ -17,12 +17,18 @@
     duration time_left{};                   ///< until its answer is of no more use
 };
 
+/** What was found. */
+struct admission_verdict {
+    std::optional<refused_answer> refusal; ///< nullopt when the request is to be run
+    std::size_t reachable = 0;             ///< replica sets with a usable server
+    std::size_t in_time = 0;               ///< of them, those expected to reply in time
+    std::optional<duration> longest_wait;  ///< expected of a set that cannot be sent the request at once
+};
+
 /**
  * Load it answers: shards that are down as a whole, and queues that have grown past what callers wait for. A
  * request that cannot be served is refused at once and told when to come back, in place of being held.
- * @return the refusal; nullopt when the request is to be run
  */
-[[nodiscard]] std::optional<refused_answer> refuse_early(const dispatcher& servers,
-                                                         const admission_inputs& it);
+[[nodiscard]] admission_verdict admit(const dispatcher& servers, const admission_inputs& it);
 
 } // namespace pollengrade
--- a/packages/core/queries/forwarder.cpp
+++ b/packages/core/queries/forwarder.cpp
@@ -101,12 +101,15 @@
     inputs.least = via->is_gather() ? least_shards(via->least_share, via->shards.size()) : 1;
     inputs.work = work_class{via->name};
     inputs.time_left = order.deadline - order.arrived;
-    auto refused = inputs.time_left < least_time
-                       ? std::optional{refused_answer{forward_refusal::no_time, duration{0}}}
-                       : refuse_early(context_.servers, inputs);
-    if (refused) {
-        note_answer(order, *refused, 0);
-        respond(*refused);
+    admission_verdict verdict;
+    if (inputs.time_left < least_time)
+        verdict.refusal = refused_answer{forward_refusal::no_time, duration{0}};
+    else
+        verdict = admit(context_.servers, inputs);
+    if (verdict.refusal) {
+        note_refusal(order, verdict, inputs.least);
+        note_answer(order, *verdict.refusal, 0);
+        respond(*verdict.refusal);
         return id;
     }
     auto finish_hook = [this, id, respond = std::move(respond)](forward_answer answer) {
@@ -119,6 +122,21 @@
     return id;
 }
 
+void forwarder::note_refusal(const forward_order& order, const admission_verdict& verdict,
+                             std::size_t least) {
+    event_fields fields{{event_key::reason, to_string(verdict.refusal->reason)},
+                        {event_key::route, order.via->name},
+                        {event_key::version, order.table->version().value()},
+                        {event_key::servers, order.targets.size()},
+                        {event_key::reachable, verdict.reachable},
+                        {event_key::in_time, verdict.in_time},
+                        {event_key::least, least},
+                        {event_key::retry_after_ms, verdict.refusal->retry_after}};
+    if (verdict.longest_wait)
+        fields.emplace_back(event_key::expected_wait_ms, *verdict.longest_wait);
+    context_.log.record(event_kind::request_refused, order.request->id, {}, std::move(fields));
+}
+
 void forwarder::finish(run_id id, const forward_answer& answer) {
     const forward_run& run = *runs_.at(id);
     note_answer(run.order(), answer, run.fan_out().hedges());
--- a/packages/core/queries/forwarder.h
+++ b/packages/core/queries/forwarder.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "core/config/route_table.h"
+#include "core/queries/admission.h"
 #include "core/queries/forward_run.h"
 #include "core/queries/forward_type.h"
 #include "core/queries/run_id.h"
@@ -53,6 +54,7 @@
                                            const route& via);
     void finish(run_id id, const forward_answer& answer);
     void note_answer(const forward_order& order, const forward_answer& answer, std::uint32_t hedges);
+    void note_refusal(const forward_order& order, const admission_verdict& verdict, std::size_t least);
     load_budget& budget_of(const service_name& service);
 
     run_context context_;                                           ///< what the node shares
--- a/packages/core/queries/gather.cpp
+++ b/packages/core/queries/gather.cpp
@@ -63,9 +63,24 @@
             arm_hedge(n);
     }
     starting_ = false;
+    log_plan();
     finish_if_decided();
 }
 
+void gather::log_plan() {
+    std::string servers;
+    for (const shard_progress& it : shards_) {
+        if (!servers.empty())
+            servers += ',';
+        const auto server = it.live.empty() ? std::nullopt : context_.servers.server_of(it.live.front());
+        servers += server ? server->value() : std::string{it.live.empty() ? "none" : "waits"};
+    }
+    context_.log.record(event_kind::query_planned, plan_.request, plan_.work.value(),
+                        {{event_key::shard, shards_.size()},
+                         {event_key::least, plan_.least},
+                         {event_key::servers, std::move(servers)}});
+}
+
 std::vector<upstream_id> gather::asked(const shard_progress& shard) const {
     std::vector<upstream_id> list = shard.tried;
     for (const attempt_id id : shard.live) {
@@ -236,9 +251,12 @@
     shard.included = !reason;
     if (reason) {
         shard.reason = *reason;
+        std::string servers;
+        for (const upstream_id& it : asked(shard))
+            servers += (servers.empty() ? "" : ",") + it.value();
         context_.log.record(event_kind::shard_missing, plan_.request, plan_.targets[index].set.value(),
                             {{event_key::reason, to_string(*reason)},
-                             {event_key::attempts, shard.tried.size() + shard.live.size()},
+                             {event_key::asked, servers.empty() ? "none" : servers},
                              {event_key::waited_ms, context_.timers.now() - shard.started}});
     }
     withdraw_attempts(shard, withdrawal::superseded);
--- a/packages/core/queries/gather.h
+++ b/packages/core/queries/gather.h
@@ -104,6 +104,7 @@
 private:
     /** @return nullopt when an attempt is on its way; else why none is. */
     std::optional<missing_reason> send_attempt(std::size_t index, placement_purpose purpose);
+    void log_plan();
     void arm_hedge(std::size_t index);
     void hedge(std::size_t index);
     void on_end(std::size_t index, const attempt_end& end);
--- a/packages/core/queries/search_run.cpp
+++ b/packages/core/queries/search_run.cpp
@@ -64,8 +64,8 @@
         for (const shard_entry& it : map_->shards)
             entries_.push_back(&it);
     }
-    context_.log.record(event_kind::query_planned, request_.id, request_.service.value(),
-                        {{event_key::version, map_->version.value()}, {event_key::servers, entries_.size()}});
+    context_.log.record(event_kind::snapshot_pinned, request_.id, request_.service.value(),
+                        {{event_key::version, map_->version.value()}, {event_key::shard, entries_.size()}});
     gather_hooks hooks;
     hooks.content = [this](std::size_t index) {
         return index_request{request_.service, entries_[index]->id, map_->version, request_.query};
--- a/packages/core/upstreams/registry.h
+++ b/packages/core/upstreams/registry.h
@@ -11,7 +11,7 @@
 #include "core/base/metrics.h"
 #include "core/base/timer_queue.h"
 #include "core/config/object_type.h"
-#include "core/upstreams/server_entry.h"
+#include "core/config/server_entry.h"
 
 namespace pollengrade {
 
--- a/packages/core/upstreams/server_pool.h
+++ b/packages/core/upstreams/server_pool.h
@@ -7,8 +7,8 @@
 
 #include "core/base/timer_queue.h"
 #include "core/config/route_table.h"
+#include "core/config/server_entry.h"
 #include "core/upstreams/dispatcher.h"
-#include "core/upstreams/server_entry.h"
 
 namespace pollengrade {
 
--- a/packages/core/upstreams/shard_func.cpp
+++ b/packages/core/upstreams/shard_func.cpp
@@ -4,9 +4,10 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
-#include <charconv>
 #include <set>
 
+#include "core/base/address_func.h"
+
 namespace pollengrade {
 
 namespace {
@@ -14,39 +15,12 @@
 constexpr std::array<std::string_view, 5> shard_map_error_names{"malformed", "no_shards", "too_many",
                                                                 "duplicate_shard", "bad_address"};
 
-/** Reads a number of at most @p most off the front of @p text. */
-bool take_number(std::string_view& text, unsigned most) {
-    unsigned n = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (ec != std::errc{} || n > most)
-        return false;
-    text.remove_prefix(static_cast<std::size_t>(end - text.data()));
-    return true;
-}
-
-bool take_char(std::string_view& text, char wanted) {
-    if (!text.starts_with(wanted))
-        return false;
-    text.remove_prefix(1);
-    return true;
-}
-
 } // namespace
 
 std::string_view to_string(shard_map_error it) {
     return shard_map_error_names.at(static_cast<std::size_t>(it));
 }
 
-bool is_address(std::string_view text) {
-    constexpr unsigned max_octet = 255;
-    constexpr unsigned max_port = 65535;
-    for (const char separator : {'.', '.', '.', ':'}) {
-        if (!take_number(text, max_octet) || !take_char(text, separator))
-            return false;
-    }
-    return !text.starts_with('0') && take_number(text, max_port) && text.empty();
-}
-
 tl::expected<void, shard_map_error> check(const shard_map& map) {
     if (map.shards.empty())
         return tl::unexpected{shard_map_error::no_shards};
--- a/packages/core/upstreams/shard_func.h
+++ b/packages/core/upstreams/shard_func.h
@@ -24,9 +24,6 @@
 /** @return the name of @p it as it appears in messages. */
 [[nodiscard]] std::string_view to_string(shard_map_error it);
 
-/** @return whether @p text is a dotted IPv4 address, a colon and a port from 1 to 65535. */
-[[nodiscard]] bool is_address(std::string_view text);
-
 /** @return the first thing wrong with @p map, if anything is. */
 [[nodiscard]] tl::expected<void, shard_map_error> check(const shard_map& map);
 
--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -10,6 +10,7 @@
 
 #include "ctl/command_type.h"
 #include "ctl/document_command.h"
+#include "ctl/explain_command.h"
 #include "ctl/node_command.h"
 #include "runtime/program_func.h"
 
@@ -29,6 +30,8 @@
 Nodes (these need --node, a node's operators' address; the others are found through it):
   status                     nodes, versions in force, upstreams that drain
   timeline                   events of all nodes in one causal order
+Logs (no address needed):
+  explain ID FILE...         what became of a request, from nodes' log lines; - for standard input
 Requests (these need --callers, a node's or the balancer's address):
   query SERVICE TEXT         search every shard
   lookup SERVICE NUMBER      look one number up
@@ -47,9 +50,10 @@
 
 /** A command: how many arguments it takes, what it needs, what it does. */
 struct command {
-    std::size_t arguments = 0;
+    std::size_t arguments = 0; // At least, for a command that takes any number more.
     const char* needs = "";
     std::function<exit_code(const command_context&, const words&, const cxxopts::ParseResult&)> run;
+    bool takes_more = false;
 };
 
 std::string text_flag(const cxxopts::ParseResult& flags, const char* name) {
@@ -100,6 +104,12 @@
               return get_document(c, config_kind::shard_maps, it[0]);
           }}},
         {"list", {0, "platform", [](context_type c, const words&, flags_type) { return list_documents(c); }}},
+        {"explain",
+         {2, "",
+          [](context_type c, const words& it, flags_type) {
+              return explain_request(c, it.front(), {it.begin() + 1, it.end()});
+          },
+          true}},
         {"status", {0, "node", [](context_type c, const words&, flags_type) { return show_status(c); }}},
         {"timeline",
          {0, "node",
@@ -160,8 +170,12 @@
     const auto it = commands().find(name);
     if (it == commands().end())
         return usage("unknown command " + name);
-    if (arguments.size() != it->second.arguments)
-        return usage(name + " takes " + std::to_string(it->second.arguments) + " arguments");
+    const command& wanted = it->second;
+    const bool is_right =
+        wanted.takes_more ? arguments.size() >= wanted.arguments : arguments.size() == wanted.arguments;
+    if (!is_right)
+        return usage(name + " takes " + std::to_string(wanted.arguments) + " arguments" +
+                     (wanted.takes_more ? " or more" : ""));
     command_context context;
     context.platform = text_flag(flags, "platform");
     context.callers = text_flag(flags, "callers");
--- a/packages/daemon/front.h
+++ b/packages/daemon/front.h
@@ -8,8 +8,8 @@
 #include "core/base/event_log.h"
 #include "core/base/metrics.h"
 #include "core/config/config_store.h"
+#include "core/config/server_entry.h"
 #include "core/queries/gather.h"
-#include "core/upstreams/server_entry.h"
 #include "net/http_listener.h"
 #include "json/json_view.h"
 
--- a/packages/peer/peer_codec.cpp
+++ b/packages/peer/peer_codec.cpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <utility>
 
-#include "core/upstreams/shard_func.h"
+#include "core/base/address_func.h"
 
 namespace pollengrade {
 
--- a/packages/peer/peer_codec.h
+++ b/packages/peer/peer_codec.h
@@ -7,7 +7,7 @@
 #include "core/base/event_log.h"
 #include "core/cluster/config_spread.h"
 #include "core/cluster/member_type.h"
-#include "core/upstreams/server_entry.h"
+#include "core/config/server_entry.h"
 #include "peer/peer.capnp.h"
 
 namespace pollengrade {
--- a/packages/peer/peer_server.cpp
+++ b/packages/peer/peer_server.cpp
@@ -6,7 +6,7 @@
 #include <glib-unix.h>
 #include <kj/debug.h>
 
-#include "core/upstreams/shard_func.h"
+#include "core/base/address_func.h"
 #include "net/socket_func.h"
 #include "peer/peer_codec.h"
 
--- a/packages/runtime/log_writer.cpp
+++ b/packages/runtime/log_writer.cpp
@@ -78,6 +78,7 @@
 log_writer::importance log_writer::importance_of(const event& it) {
     switch (it.kind) {
     case event_kind::request_received:
+    case event_kind::snapshot_pinned:
     case event_kind::query_planned:
     case event_kind::shard_hedged:
     case event_kind::shard_retried:
--- a/tests/support/fake_network.h
+++ b/tests/support/fake_network.h
@@ -47,7 +47,7 @@
     /** Makes a server of a replica set known; its address is 127.9.0.N:9000. */
     upstream_id add(const std::string& name, std::uint32_t connections = 2,
                     const std::string& domain = "here") {
-        const upstream_id id{name};
+        upstream_id id{name};
         const upstream_address address{"127.9.0." + std::to_string(++added_) + ":9000"};
         servers_.put_server({id, address, failure_domain{domain}, name}, {connections, 2});
         return id;
