--- a/packages/core/cluster/config_spread.h
+++ b/packages/core/cluster/config_spread.h
@@ -45,11 +45,14 @@
     /**
      * @param store configuration known
      * @param counts the counters
-     * @param push_fanout nodes that each news is pushed on to; 0 where every node reads it from the platform
+     * @param push_fanout nodes that each news is pushed on to
      * @param hooks the network
      */
     config_spread(config_store& store, metrics& counts, std::size_t push_fanout, spread_hooks hooks);
 
+    /** Changes the number of nodes that news is pushed on to; 0 where every node reads it from the platform.
+     */
+    void set_push_fanout(std::size_t count) { push_fanout_ = count; }
     /** Takes objects from the platform or a peer, and pushes on what is news. */
     void take(const std::vector<config_entry>& entries);
     /** Looks at a peer's greeting, and pulls when its configuration differs. */
--- /dev/null
+++ b/packages/core/cluster/holders.cpp
@@ -0,0 +1,130 @@
+/** @file holders.cpp Choice of holders by capacity and rendezvous hashing. */
+#include "core/cluster/holders.h"
+
+#include <algorithm>
+#include <functional>
+#include <limits>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr std::size_t least_share = 2; ///< connections a node must have for a query not to wait for another
+constexpr std::size_t holders_per_domain = 2; ///< one may be lost, paused or restarted
+constexpr std::size_t wanted_share = 4;       ///< connections a holder needs for the queries of many nodes
+constexpr std::size_t reserved = 2;           ///< nodes that hold connections by another view of the nodes
+
+std::uint64_t hash_of(std::string_view group, const node_address& node) {
+    const std::string text = std::string{group} + '\0' + node.value();
+    return XXH3_64bits(text.data(), text.size());
+}
+
+/**
+ * @return the sets of shards that are asked together, each with the first name of a route to it: routes keep
+ * their names when an index is cut anew, so its new shards are held by the nodes that held the old ones
+ */
+std::map<std::vector<service_name>, std::string> names_of_groups(const route_table& routes) {
+    std::map<std::vector<service_name>, std::string> names;
+    for (const route& via : routes.routes()) {
+        if (!via.is_gather())
+            continue;
+        std::string& name = names[via.shards];
+        if (name.empty() || via.name < name)
+            name = via.name;
+    }
+    return names;
+}
+
+} // namespace
+
+bool needs_holders(std::uint32_t max_connections, std::size_t nodes) {
+    return max_connections / (nodes + reserved) < least_share;
+}
+
+std::size_t wanted_holders(std::uint32_t max_connections, std::size_t domains) {
+    const std::size_t most = max_connections / wanted_share;
+    return std::max<std::size_t>(1, std::min(domains * holders_per_domain, most));
+}
+
+std::vector<node_address> pick_holders(std::string_view group, std::span<const member> nodes,
+                                       std::size_t count) {
+    struct ranked {
+        std::uint32_t capacity;
+        std::uint64_t hash;
+        node_address address;
+    };
+    std::map<failure_domain, std::vector<ranked>> by_domain;
+    for (const member& it : nodes)
+        by_domain[it.domain].push_back({it.capacity, hash_of(group, it.address), it.address});
+    for (auto& [domain, list] : by_domain) {
+        std::sort(list.begin(), list.end(), [](const ranked& a, const ranked& b) {
+            return std::tie(b.capacity, b.hash, b.address) < std::tie(a.capacity, a.hash, a.address);
+        });
+    }
+    std::vector<node_address> picked;
+    for (std::size_t rank = 0; picked.size() < count; ++rank) {
+        const std::size_t before = picked.size();
+        for (const auto& [domain, list] : by_domain) {
+            if (rank < list.size() && picked.size() < count)
+                picked.push_back(list[rank].address);
+        }
+        if (picked.size() == before)
+            break; // No more nodes.
+    }
+    return picked;
+}
+
+void holder_table::update(const route_table_ptr& routes, std::span<const member> nodes) {
+    routes_ = routes;
+    groups_.clear();
+    group_of_.clear();
+    nodes_ = static_cast<std::uint32_t>(std::max<std::size_t>(1, nodes.size()));
+    if (!routes)
+        return;
+    std::set<failure_domain> domains;
+    for (const member& it : nodes)
+        domains.insert(it.domain);
+    for (const auto& [key, name] : names_of_groups(*routes)) {
+        std::uint32_t connections = std::numeric_limits<std::uint32_t>::max();
+        for (const service_name& it : key)
+            connections = std::min(connections, routes->services().at(it).max_connections);
+        if (!needs_holders(connections, nodes.size()))
+            continue;
+        group& it = groups_[key];
+        it.holders = pick_holders(name, nodes, wanted_holders(connections, domains.size()));
+        it.has_self = std::find(it.holders.begin(), it.holders.end(), self_) != it.holders.end();
+        for (const service_name& service : key)
+            group_of_[service] = key;
+    }
+}
+
+std::span<const node_address> holder_table::holders_of(const route& via) const {
+    const auto it = groups_.find(via.shards);
+    if (it == groups_.end())
+        return {};
+    return it->second.holders;
+}
+
+bool holder_table::holds(const service_name& service) const {
+    if (const auto it = group_of_.find(service); it != group_of_.end())
+        return groups_.at(it->second).has_self;
+    const bool is_described = routes_ && routes_->services().contains(service);
+    return is_described || is_holder();
+}
+
+std::uint32_t holder_table::sharing(const service_name& service) const {
+    const auto it = group_of_.find(service);
+    return it == group_of_.end() ? nodes_ : static_cast<std::uint32_t>(groups_.at(it->second).holders.size());
+}
+
+bool holder_table::is_holder() const {
+    return groups_.empty() ||
+           std::any_of(groups_.begin(), groups_.end(), [](const auto& it) { return it.second.has_self; });
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/packages/core/cluster/holders.h
@@ -0,0 +1,87 @@
+/** @file holders.h Which nodes hold the connections to servers that take fewer than there are nodes. */
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/base/id_type.h"
+#include "core/cluster/member_type.h"
+#include "core/config/route_table.h"
+
+namespace pollengrade {
+
+/**
+ * Load it answers: hundreds of nodes before servers that take tens of connections. A node with less than two
+ * connections to each server serves one query at a time and learns too little of each server.
+ * @param max_connections that one server takes from all nodes
+ * @param nodes that are running
+ * @return whether only some nodes, the holders, are to connect to such servers
+ */
+[[nodiscard]] bool needs_holders(std::uint32_t max_connections, std::size_t nodes);
+
+/**
+ * @param max_connections that one server takes from all nodes
+ * @param domains failure domains that have nodes
+ * @return how many nodes hold connections to such a server
+ */
+[[nodiscard]] std::size_t wanted_holders(std::uint32_t max_connections, std::size_t domains);
+
+/**
+ * Picks holders evenly over the failure domains; within one, the VMs of most capacity, and among equal ones
+ * those of highest hash, so that groups of shards differ and nodes with the same view pick the same.
+ * @param group names the shards
+ * @param nodes the candidates
+ * @param count how many to pick
+ * @return at most @p count nodes
+ */
+[[nodiscard]] std::vector<node_address> pick_holders(std::string_view group, std::span<const member> nodes,
+                                                     std::size_t count);
+
+/** The holders of every gather route, as this node sees them. Two nodes may differ; that costs connections.
+ */
+class holder_table {
+public:
+    /** @param self this node */
+    explicit holder_table(node_address self) : self_{std::move(self)} {}
+
+    /**
+     * Computes the holders anew.
+     * @param routes in force; null for none
+     * @param nodes that are running, this one included
+     */
+    void update(const route_table_ptr& routes, std::span<const member> nodes);
+
+    /** @return the holders of a gather route's shards; empty when every node holds them. */
+    [[nodiscard]] std::span<const node_address> holders_of(const route& via) const;
+    /**
+     * @return whether this node keeps connections to the servers of a service. Servers of a service that no
+     * route names yet are connected to by holders, ahead of the routes that will name it.
+     */
+    [[nodiscard]] bool holds(const service_name& service) const;
+    /** @return nodes that share the connections of a service's servers. */
+    [[nodiscard]] std::uint32_t sharing(const service_name& service) const;
+    /** @return whether only some nodes hold some connections; only these then watch the platform's store. */
+    [[nodiscard]] bool is_divided() const noexcept { return !groups_.empty(); }
+    /** @return whether this node holds the connections of any group, or all nodes do. */
+    [[nodiscard]] bool is_holder() const;
+
+private:
+    /** Shards that are always asked together, and the nodes that hold their connections. */
+    struct group {
+        std::vector<node_address> holders;
+        bool has_self = false;
+    };
+
+    node_address self_;                                          ///< this node
+    route_table_ptr routes_;                                     ///< in force; null for none
+    std::uint32_t nodes_ = 1;                                    ///< nodes that are running
+    std::map<std::vector<service_name>, group> groups_;          ///< by their shards
+    std::map<service_name, std::vector<service_name>> group_of_; ///< of services that only holders connect to
+};
+
+} // namespace pollengrade
--- a/packages/core/cluster/member_type.h
+++ b/packages/core/cluster/member_type.h
@@ -46,6 +46,7 @@
     failure_domain domain;                    ///< where its VM stands
     incarnation life;                         ///< which word of it this is
     member_state state = member_state::alive; ///< what is held of it
+    std::uint32_t capacity = 0;               ///< of its VM: thousandths of a core
 };
 
 /** @return whether @p a replaces @p b. */
--- a/packages/core/cluster/membership.cpp
+++ b/packages/core/cluster/membership.cpp
@@ -107,6 +107,29 @@
     return list;
 }
 
+std::vector<member> membership::live_members() const {
+    std::vector<member> list{self_};
+    for (const auto& [address, it] : others_) {
+        if (is_live(it.state))
+            list.push_back(it);
+    }
+    return list;
+}
+
+failure_domain membership::domain_of(const node_address& node) const {
+    const auto it = others_.find(node);
+    return it == others_.end() ? failure_domain{} : it->second.domain;
+}
+
+void membership::greet(std::size_t count) {
+    for (const node_address& it : draw(count)) {
+        hooks_.probe(it, make_greeting(it), [this](const std::optional<greeting>& reply) {
+            if (reply)
+                heard(*reply);
+        });
+    }
+}
+
 std::vector<node_address> membership::draw(std::size_t count) const {
     std::vector<node_address> pool = live();
     pool.erase(pool.begin()); // This node.
--- a/packages/core/cluster/membership.h
+++ b/packages/core/cluster/membership.h
@@ -68,6 +68,12 @@
     [[nodiscard]] std::vector<node_address> live() const;
     /** The same of one failure domain. */
     [[nodiscard]] std::vector<node_address> live(const failure_domain& domain) const;
+    /** The same with all that is known of them. */
+    [[nodiscard]] std::vector<member> live_members() const;
+    /** @return the failure domain of a node; empty when it is not known. */
+    [[nodiscard]] failure_domain domain_of(const node_address& node) const;
+    /** Greets some nodes at once, to pass on that something has changed. */
+    void greet(std::size_t count);
     /** @return up to @p count other live nodes drawn at random. */
     [[nodiscard]] std::vector<node_address> draw(std::size_t count) const;
     /** @return whether another node has been heard of lately, or none is known. */
--- a/packages/core/cluster/registry_spread.cpp
+++ b/packages/core/cluster/registry_spread.cpp
@@ -41,7 +41,7 @@
     if (from.registry_changed <= servers_.revision() || doubt_)
         return;
     const node_address peer = from.sender.address;
-    if (!reached_) {
+    if (!reached_ || !fed_) {
         ask(peer);
         return;
     }
@@ -56,7 +56,7 @@
     if (std::exchange(asking_, true))
         return;
     ++counts_.counter("registry_pulls_sent");
-    hooks_.pull(peer, servers_.revision(), [this](const std::optional<registry_snapshot>& other) {
+    hooks_.pull(peer, servers_.revision(), [this](const std::optional<registry_update>& other) {
         asking_ = false;
         if (!other || !servers_.take(*other))
             return;
--- a/packages/core/cluster/registry_spread.h
+++ b/packages/core/cluster/registry_spread.h
@@ -13,13 +13,13 @@
 
 /** What the spread of the registry needs of the network and the store's feeds. */
 struct registry_spread_hooks {
-    using pulled = std::function<void(std::optional<registry_snapshot>)>;
+    using pulled = std::function<void(std::optional<registry_update>)>;
 
     /** Asks a node for its registry if that is later than a revision; ends in one call, in bounded time. */
     std::function<void(const node_address&, object_version, pulled)> pull;
     /** @return another live node, drawn at random; nullopt when none is known. */
     std::function<std::optional<node_address>()> draw;
-    /** A peer's registry has been taken. */
+    /** What a peer told has been taken. */
     std::function<void()> taken;
 };
 
@@ -34,6 +34,8 @@
 
     /** Takes word of whether the store answers. */
     void on_store_reached(bool reached);
+    /** Takes whether this node waits for the store's changes itself; else every change comes from peers. */
+    void set_fed(bool fed) { fed_ = fed; }
     /** Looks at how far a peer's registry is. */
     void on_greeting(const greeting& from);
 
@@ -46,6 +48,7 @@
     registry& servers_;             ///< what is kept current
     registry_spread_hooks hooks_;   ///< the network
     bool reached_ = true;           ///< whether the store answers
+    bool fed_ = true;               ///< see set_fed()
     bool asking_ = false;           ///< one pull at a time
     std::optional<timer_id> turn_;  ///< the next ask_in_turn()
     std::optional<timer_id> doubt_; ///< a look at whether the feed is still behind
--- a/packages/core/config/node_settings.cpp
+++ b/packages/core/config/node_settings.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<key_rule, 15> rules{{
+constexpr std::array<key_rule, 17> rules{{
     {"node", "name", key_form::text, 1, 63, "", true, "", "",
      "Name of the node in logs and on the time line."},
     {"node", "interface", key_form::choice, 0, 0, "documents", false, "documents|routes", "",
@@ -21,6 +21,11 @@
      "IPv4:port of metrics, health, status and time line."},
     {"node", "peers", key_form::text, 9, 21, "", true, "", "", "IPv4:port where other nodes are served."},
     {"node", "failure_domain", key_form::text, 1, 63, "", true, "", "", "Failure domain of the VM."},
+    {"node", "cpu_share", key_form::decimal, 0, 1024, "1", false, "", "cores",
+     "Share of a core that the VM gives this process; nodes with more are preferred as holders of "
+     "connections."},
+    {"node", "cpu_speed", key_form::decimal, 0, 1024, "1", false, "", "",
+     "How fast such a core is, relative to the others."},
     {"node", "grace_s", key_form::decimal, 1, 600, "10", false, "", "s",
      "Longest time from the signal to stop to the process's end."},
     {"node", "debug", key_form::text, 0, 200, "", false, "", "",
@@ -95,6 +100,9 @@
     it.form = ini->text("node", "interface") == "routes" ? interface_form::routes : interface_form::documents;
     if (it.form == interface_form::routes)
         it.readiness = address("node", "readiness");
+    constexpr double thousandths = 1000;
+    it.capacity = static_cast<std::uint32_t>(ini->decimal("node", "cpu_share") *
+                                             ini->decimal("node", "cpu_speed") * thousandths);
     it.grace = seconds_of(*ini, "node", "grace_s");
     it.budget.ratio = ini->decimal("retries", "ratio");
     it.budget.slack = static_cast<double>(ini->number("retries", "slack"));
--- a/packages/core/config/node_settings.h
+++ b/packages/core/config/node_settings.h
@@ -37,6 +37,7 @@
     node_address operators;                          ///< where metrics, status and the time line are served
     node_address peers;                              ///< where other nodes are served
     failure_domain domain;                           ///< where the VM stands
+    std::uint32_t capacity = 0;                      ///< of the VM: thousandths of a core
     duration grace{};                                ///< longest time from the signal to stop to the end
     node_address platform;                           ///< the platform's object API
     std::vector<node_address> seeds;                 ///< peers to ask first
--- a/packages/core/queries/forward_run.h
+++ b/packages/core/queries/forward_run.h
@@ -40,6 +40,8 @@
     /** Ends the run without an answer: the caller is gone. */
     void abandon();
 
+    /** @return whether the answer has been given or the caller is gone. */
+    [[nodiscard]] bool is_finished() const noexcept { return finished_; }
     [[nodiscard]] const forward_order& order() const noexcept { return order_; }
     [[nodiscard]] const gather& fan_out() const noexcept { return *gather_; }
 
--- a/packages/core/queries/forwarder.cpp
+++ b/packages/core/queries/forwarder.cpp
@@ -36,16 +36,21 @@
 
 } // namespace
 
-forwarder::forwarder(run_context context, load_budget_limits budget) : context_{context}, budget_{budget} {}
+forwarder::forwarder(run_context context, const std::function<std::uint64_t()>& random, failure_domain domain,
+                     forwarder_hooks hooks, delegation_hooks network)
+    : context_{context}, hooks_{std::move(hooks)}, delegation_{context.timers,    context.log,
+                                                               context.counts,    random,
+                                                               std::move(domain), std::move(network)} {}
 
 load_budget& forwarder::budget_of(const service_name& service) {
-    return budgets_.try_emplace(service, budget_).first->second;
+    const auto it = budgets_.find(service);
+    return it == budgets_.end() ? budgets_.emplace(service, hooks_.budget(service)).first->second
+                                : it->second;
 }
 
-void forwarder::set_budget(load_budget_limits budget) {
-    budget_ = budget;
+void forwarder::refresh_budgets() {
     for (auto& [name, it] : budgets_)
-        it.set_limits(budget);
+        it.set_limits(hooks_.budget(name));
 }
 
 bool forwarder::apply(route_table_ptr table) {
@@ -58,12 +63,13 @@
     return true;
 }
 
-forward_order forwarder::make_order(std::shared_ptr<const forwarded_request> request, const route& via) {
+forward_order forwarder::make_order(std::shared_ptr<const forwarded_request> request, const route& via,
+                                    time_point arrived) {
     forward_order order;
     order.request = std::move(request);
     order.table = table_;
     order.via = &via;
-    order.arrived = context_.timers.now();
+    order.arrived = arrived;
     order.deadline = order.arrived + std::min(order.request->time_left.value_or(via.timeout), via.timeout);
     if (via.is_gather()) {
         for (const service_name& it : via.shards)
@@ -92,15 +98,72 @@
         respond(unroutable_answer{});
         return id;
     }
-    forward_order order = make_order(std::move(request), *via);
+    forward_order order = make_order(std::move(request), *via, context_.timers.now());
+    auto holders = via->is_gather() ? hooks_.holders(*via) : std::vector<node_address>{};
+    if (holders.empty())
+        run_here(id, std::move(order), std::move(respond));
+    else
+        hand_over(id, std::move(order), std::move(holders), std::move(respond));
+    return id;
+}
+
+run_id forwarder::submit_delegated(const delegated_request& request,
+                                   std::function<void(delegated_answer)> respond) {
+    const run_id id{next_run_++};
+    ++context_.counts.counter("queries_taken_over");
+    if (!table_ || table_->version() < request.least_version) {
+        respond({refused_answer{forward_refusal::not_configured, duration{0}},
+                 table_ ? table_->version() : object_version{}, true});
+        return id;
+    }
+    const object_version version = table_->version();
+    const route* via = table_->find(request.request->host, request.request->path);
+    if (via == nullptr) {
+        respond({unroutable_answer{}, version, false});
+        return id;
+    }
+    const time_point now = context_.timers.now();
+    forward_order order = make_order(request.request, *via, now - request.elapsed);
+    order.deadline = std::min(order.arrived + via->timeout, now + request.left);
+    run_here(id, std::move(order), [version, respond = std::move(respond)](forward_answer answer) {
+        respond({std::move(answer), version, false});
+    });
+    return id;
+}
+
+void forwarder::hand_over(run_id id, forward_order order, std::vector<node_address> holders,
+                          forward_hook respond) {
+    delegated_request request;
+    request.request = order.request;
+    request.left = order.deadline - order.arrived;
+    request.least_version = seen_version_;
+    const auto kept = std::make_shared<forward_order>(std::move(order));
+    delegation_.submit(
+        id, std::move(request), std::move(holders),
+        [this, id, kept, respond = std::move(respond)](std::optional<delegated_answer> answer) {
+            if (!answer) {
+                run_here(id, std::move(*kept), respond);
+                return;
+            }
+            if (answer->version > seen_version_) {
+                seen_version_ = answer->version;
+                hooks_.behind();
+            }
+            note_answer(*kept, answer->answer, 0);
+            respond(std::move(answer->answer));
+        });
+}
+
+void forwarder::run_here(run_id id, forward_order order, forward_hook respond) {
+    const route& via = *order.via;
     admission_inputs inputs;
     std::vector<replica_set_name> sets;
     for (const gather_target& it : order.targets)
         sets.push_back(it.set);
     inputs.sets = sets;
-    inputs.least = via->is_gather() ? least_shards(via->least_share, via->shards.size()) : 1;
-    inputs.work = work_class{via->name};
-    inputs.time_left = order.deadline - order.arrived;
+    inputs.least = via.is_gather() ? least_shards(via.least_share, via.shards.size()) : 1;
+    inputs.work = work_class{via.name};
+    inputs.time_left = order.deadline - context_.timers.now();
     admission_verdict verdict;
     if (inputs.time_left < least_time)
         verdict.refusal = refused_answer{forward_refusal::no_time, duration{0}};
@@ -110,7 +173,7 @@
         note_refusal(order, verdict, inputs.least);
         note_answer(order, *verdict.refusal, 0);
         respond(*verdict.refusal);
-        return id;
+        return;
     }
     auto finish_hook = [this, id, respond = std::move(respond)](forward_answer answer) {
         finish(id, answer);
@@ -119,7 +182,6 @@
     auto& run = runs_[id];
     run = std::make_unique<forward_run>(context_, std::move(order), std::move(finish_hook));
     run->start();
-    return id;
 }
 
 void forwarder::note_refusal(const forward_order& order, const admission_verdict& verdict,
@@ -141,11 +203,7 @@
     const forward_run& run = *runs_.at(id);
     note_answer(run.order(), answer, run.fan_out().hedges());
     // The run is still on the call stack: it is destroyed by the next turn of the loop.
-    context_.timers.schedule_after(duration{0}, [this, id] {
-        runs_.erase(id);
-        if (runs_.empty() && idle_)
-            idle_();
-    });
+    context_.timers.schedule_after(duration{0}, [this, id] { runs_.erase(id); });
 }
 
 void forwarder::note_answer(const forward_order& order, const forward_answer& answer, std::uint32_t hedges) {
@@ -176,18 +234,15 @@
 }
 
 void forwarder::abandon(run_id id) {
+    delegation_.abandon(id);
     const auto it = runs_.find(id);
-    if (it == runs_.end())
+    if (it == runs_.end() || it->second->is_finished())
         return;
     ++context_.counts.counter("requests_abandoned");
     context_.log.record(event_kind::request_abandoned, it->second->order().request->id, {},
                         {{event_key::took_ms, context_.timers.now() - it->second->order().arrived}});
     it->second->abandon();
-    context_.timers.schedule_after(duration{0}, [this, id] {
-        runs_.erase(id);
-        if (runs_.empty() && idle_)
-            idle_();
-    });
+    context_.timers.schedule_after(duration{0}, [this, id] { runs_.erase(id); });
 }
 
 } // namespace pollengrade
--- a/packages/core/upstreams/dispatcher.cpp
+++ b/packages/core/upstreams/dispatcher.cpp
@@ -15,6 +15,8 @@
     std::chrono::milliseconds{100}; ///< limit of a usual reply before any is known
 constexpr double usual_quantile =
     0.9; ///< of good replies: with servers that pause, a later one still counts them
+constexpr duration unused_time = std::chrono::seconds{3}; ///< after which a connection not kept is closed
+constexpr duration unused_check_period = std::chrono::seconds{1}; ///< between two looks for such connections
 constexpr duration give_up_margin =
     std::chrono::milliseconds{200};                           ///< past the deadline, for a withdrawn request
 constexpr duration longest_give_up = std::chrono::seconds{1}; ///< for a withdrawn request's end
@@ -51,8 +53,26 @@
                      {event_key::connections, limits.max_connections}});
         keep_connected(identity.id);
     } else {
+        keep_connected(identity.id);
         serve_sets_of(identity.id);
     }
+    if (!limits.keep_open && !unused_check_)
+        unused_check_ = timers_.schedule_after(unused_check_period, [this] { close_unused(); });
+}
+
+void dispatcher::close_unused() {
+    unused_check_.reset();
+    const time_point limit = timers_.now() - unused_time;
+    bool any = false;
+    for (auto& [id, server] : upstreams_) {
+        if (server.limits().keep_open)
+            continue;
+        any = true;
+        for (const connection_id it : server.unused_since(limit))
+            drop_connection(server, it);
+    }
+    if (any)
+        unused_check_ = timers_.schedule_after(unused_check_period, [this] { close_unused(); });
 }
 
 void dispatcher::remove_server(const upstream_id& id) {
@@ -228,7 +248,8 @@
     ++counts_.counter("attempts_sent");
     hooks_.send(it.connection, server.identity(), it.request);
     // Keep a connection at hand for the next request.
-    if (!server.idle_connection(now) && !server.is_connecting() && server.may_connect(now))
+    if (server.limits().keep_open && !server.idle_connection(now) && !server.is_connecting() &&
+        server.may_connect(now))
         connect(server);
     arm_silence_check();
 }
@@ -271,7 +292,8 @@
 
 void dispatcher::keep_connected(const upstream_id& id) {
     upstream* server = at(id);
-    if (server == nullptr || server->is_leaving() || server->is_connecting() || reconnects_.contains(id))
+    if (server == nullptr || server->is_leaving() || server->is_connecting() || reconnects_.contains(id) ||
+        !server->limits().keep_open)
         return;
     const time_point now = timers_.now();
     const bool has_one =
--- a/packages/core/upstreams/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -138,6 +138,7 @@
     void on_connect_failed(upstream& server, connection_end why);
     void note_result(upstream& server, const attempt& sent, const attempt_result& result);
     void note_failure(upstream& server, std::string_view cause);
+    void close_unused();
     void look_for_silence();
     void test_silent_server(const upstream_id& id, std::span<const request_in_flight> flights);
     void abort_attempt(attempt_id id);
@@ -160,6 +161,7 @@
     std::map<connection_id, timer_id> connect_limits_;             ///< of connections being opened
     std::map<upstream_id, timer_id> reconnects_;                   ///< pending tries to connect
     std::optional<timer_id> silence_check_;                        ///< pending look_for_silence()
+    std::optional<timer_id> unused_check_;                         ///< pending close_unused()
     std::size_t wanted_ = 0;                                       ///< see live_attempts()
     std::uint64_t next_attempt_ = 1;                               ///< the next attempt's ID
     std::uint64_t next_connection_ = 1;                            ///< the next connection's ID
--- a/packages/core/upstreams/registry.cpp
+++ b/packages/core/upstreams/registry.cpp
@@ -11,6 +11,7 @@
 
 /** Servers that live have written their entries again within two seconds of the store's return. */
 constexpr duration rewrite_time = std::chrono::milliseconds{2500};
+constexpr std::size_t most_changes = 1024; ///< kept for peers that lag; one that lags more is told all
 
 } // namespace
 
@@ -24,6 +25,7 @@
 void registry::replace(const object_list& list) {
     if (list.revision <= revision_)
         return;
+    const bool is_first = revision_ == object_version{};
     revision_ = list.revision;
     std::set<std::string> listed;
     for (const stored_object& it : list.objects) {
@@ -34,13 +36,9 @@
         else
             note_unreadable(it.name, it.version);
     }
-    std::vector<std::string> missing;
-    for (const auto& [name, entry] : entries_) {
-        if (!listed.contains(name))
-            missing.push_back(name);
-    }
-    for (const std::string& name : missing)
-        remove(name, false);
+    remove_all_but(listed);
+    if (is_first)
+        forget_changes();
     log_.record(event_kind::registry_replaced, {}, "store",
                 {{event_key::revision, revision_.value()}, {event_key::servers, entries_.size()}});
 }
@@ -50,10 +48,9 @@
         return;
     revision_ = changes.revision;
     for (const object_change& it : changes.changes) {
-        changed_at_ = std::max({changed_at_, it.object.version});
+        changed_at_ = std::max(changed_at_, it.object.version);
         if (it.removed) {
-            changed_at_ = std::max(changed_at_, changes.revision);
-            remove(it.object.name, false);
+            remove(it.object.name);
         } else if (const auto* entry = std::get_if<server_entry>(&it.object.content)) {
             put(*entry);
         } else {
@@ -62,28 +59,79 @@
     }
 }
 
-bool registry::take(const registry_snapshot& other) {
+bool registry::take(const registry_update& other) {
     if (other.revision <= revision_)
         return false;
+    const bool is_first = revision_ == object_version{};
     revision_ = other.revision;
     std::set<std::string> listed;
-    for (const server_entry& it : other.entries) {
-        listed.insert(it.name);
-        changed_at_ = std::max(changed_at_, it.version);
-        put(it);
+    for (const registry_item& it : other.items) {
+        const std::string& name = it.entry.name;
+        changed_at_ = std::max(changed_at_, it.entry.version);
+        if (it.state == entry_state::removed) {
+            remove_now(name);
+            continue;
+        }
+        listed.insert(name);
+        put(it.entry);
+        if (it.state == entry_state::doubted)
+            doubt(name, timers_.now() + rewrite_time);
     }
+    if (!other.is_whole)
+        return true;
+    remove_all_but(listed);
+    if (is_first)
+        forget_changes();
+    log_.record(event_kind::registry_replaced, {}, "peer",
+                {{event_key::revision, revision_.value()}, {event_key::servers, entries_.size()}});
+    return true;
+}
+
+void registry::remove_all_but(const std::set<std::string>& listed) {
     std::vector<std::string> missing;
     for (const auto& [name, entry] : entries_) {
         if (!listed.contains(name))
             missing.push_back(name);
     }
     for (const std::string& name : missing)
-        remove(name, true);
-    if (!missing.empty())
-        changed_at_ = std::max(changed_at_, revision_);
-    log_.record(event_kind::registry_replaced, {}, "peer",
-                {{event_key::revision, revision_.value()}, {event_key::servers, entries_.size()}});
-    return true;
+        remove(name);
+}
+
+void registry::forget_changes() {
+    // What was removed before is not known here: a peer that holds less must be told all.
+    changes_.clear();
+    changes_from_ = revision_;
+}
+
+void registry::note_change(const server_entry& entry, entry_state state) {
+    changed_at_ = std::max(changed_at_, revision_);
+    changes_.emplace_back(revision_, registry_item{entry, state});
+    if (changes_.size() <= most_changes)
+        return;
+    changes_from_ = changes_.front().first;
+    changes_.pop_front();
+}
+
+entry_state registry::state_of(const std::string& name) const {
+    if (doubted_.contains(name))
+        return entry_state::doubted;
+    return entries_.contains(name) ? entry_state::present : entry_state::removed;
+}
+
+registry_update registry::update_after(object_version held) const {
+    if (revision_ <= held)
+        return {};
+    registry_update update{revision_, held < changes_from_ || held == object_version{}, {}};
+    if (update.is_whole) {
+        for (const auto& [name, entry] : entries_)
+            update.items.push_back({entry, state_of(name)});
+        return update;
+    }
+    for (const auto& [revision, item] : changes_) {
+        if (revision > held)
+            update.items.push_back(item);
+    }
+    return update;
 }
 
 void registry::put(const server_entry& entry) {
@@ -101,28 +149,40 @@
             remove_now(entry.name);
     }
     entries_[entry.name] = entry;
+    note_change(entry, entry_state::present);
     changed_(entry, false);
 }
 
-void registry::remove(const std::string& name, bool is_believed) {
+void registry::remove(const std::string& name) {
     unreadable_.erase(name);
-    if (!entries_.contains(name) || doubted_.contains(name))
-        return;
-    if (is_believed || timers_.now() >= doubt_until_) {
+    if (timers_.now() < doubt_until_)
+        doubt(name, doubt_until_);
+    else
         remove_now(name);
+}
+
+void registry::doubt(const std::string& name, time_point until) {
+    const auto known = entries_.find(name);
+    if (known == entries_.end() || doubted_.contains(name))
         return;
-    }
     ++counts_.counter("removals_doubted");
-    doubted_[name] = timers_.schedule_at(doubt_until_, [this, name] {
+    note_change(known->second, entry_state::doubted);
+    doubted_[name] = timers_.schedule_at(until, [this, name] {
         doubted_.erase(name);
         remove_now(name);
     });
 }
 
 void registry::remove_now(const std::string& name) {
+    if (const auto pending = doubted_.find(name); pending != doubted_.end()) {
+        timers_.cancel(pending->second);
+        doubted_.erase(pending);
+    }
     const auto node = entries_.extract(name);
-    if (!node.empty())
-        changed_(node.mapped(), true);
+    if (node.empty())
+        return;
+    note_change(node.mapped(), entry_state::removed);
+    changed_(node.mapped(), true);
 }
 
 void registry::note_unreadable(const std::string& name, object_version version) {
@@ -132,13 +192,4 @@
         log_.record(event_kind::entries_unreadable, {}, name, {{event_key::revision, version.value()}});
 }
 
-registry_snapshot registry::snapshot() const {
-    registry_snapshot it{revision_, {}};
-    for (const auto& [name, entry] : entries_) {
-        if (!doubted_.contains(name))
-            it.entries.push_back(entry);
-    }
-    return it;
-}
-
 } // namespace pollengrade
--- a/packages/core/upstreams/registry.h
+++ b/packages/core/upstreams/registry.h
@@ -2,9 +2,12 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/base/event_log.h"
@@ -15,10 +18,24 @@
 
 namespace pollengrade {
 
-/** All servers as of one revision; what nodes give each other. */
-struct registry_snapshot {
-    object_version revision;           ///< the store's revision that it is of
-    std::vector<server_entry> entries; ///< every readable one
+/** How much of an entry is believed. */
+enum class entry_state : std::uint8_t {
+    present, ///< in the store
+    doubted, ///< gone from the store, maybe only for as long as its server takes to write it again
+    removed, ///< gone
+};
+
+/** One entry, as nodes give it to each other. */
+struct registry_item {
+    server_entry entry;                       ///< the entry, or what it was last
+    entry_state state = entry_state::present; ///< how much of it is believed
+};
+
+/** What one node tells another: all entries, or what has changed since a revision. */
+struct registry_update {
+    object_version revision;          ///< the store's revision that it leads to; 0 for nothing
+    bool is_whole = false;            ///< all entries; what is not among them is removed
+    std::vector<registry_item> items; ///< entries
 };
 
 /**
@@ -40,13 +57,14 @@
     void replace(const object_list& list);
     /** Takes changes since the revision held. */
     void apply(const object_changes& changes);
-    /** Takes a peer's snapshot. @return whether it was later than what was held */
-    bool take(const registry_snapshot& other);
+    /** Takes what a peer tells. @return whether it was later than what was held */
+    bool take(const registry_update& other);
     /** The store answers again after it did not for a while. */
     void on_store_regained();
 
-    /** @return what is believed, for peers. */
-    [[nodiscard]] registry_snapshot snapshot() const;
+    /** @return what a peer lacks that holds a revision: the changes since, or all; nothing when it lacks
+     * none. */
+    [[nodiscard]] registry_update update_after(object_version held) const;
     /** @return the revision held; 0 for none. */
     [[nodiscard]] object_version revision() const noexcept { return revision_; }
     /** @return the revision of the latest change of an entry that is known. */
@@ -55,8 +73,13 @@
 
 private:
     void put(const server_entry& entry);
-    void remove(const std::string& name, bool is_believed);
+    void remove(const std::string& name);
+    void doubt(const std::string& name, time_point until);
     void remove_now(const std::string& name);
+    void remove_all_but(const std::set<std::string>& listed);
+    void forget_changes();
+    void note_change(const server_entry& entry, entry_state state);
+    [[nodiscard]] entry_state state_of(const std::string& name) const;
     void note_unreadable(const std::string& name, object_version version);
 
     timer_queue& timers_;                              ///< the clock
@@ -68,7 +91,10 @@
     std::map<std::string, server_entry> entries_;      ///< by name
     std::map<std::string, timer_id> doubted_;          ///< removals not believed yet
     std::map<std::string, object_version> unreadable_; ///< entries that name no server, told once each
-    time_point doubt_until_{}; ///< removals learned before this are doubted until then
+    std::deque<std::pair<object_version, registry_item>>
+        changes_;                 ///< of late, by the revision that brought them
+    object_version changes_from_; ///< a peer that holds less is told all
+    time_point doubt_until_{};    ///< removals learned before this are doubted until then
 };
 
 } // namespace pollengrade
--- a/packages/core/upstreams/server_pool.cpp
+++ b/packages/core/upstreams/server_pool.cpp
@@ -17,10 +17,18 @@
 
 /** Servers find out that a VM without power has left its connections behind after about as long. */
 constexpr duration start_time = std::chrono::seconds{10};
+/** Until a node that starts with all others knows them: no connection is opened ahead of need before. */
+constexpr duration settle_time = std::chrono::milliseconds{400};
 
 } // namespace
 
-server_pool::server_pool(timer_queue& timers, dispatcher& servers) : servers_{servers} {
+server_pool::server_pool(timer_queue& timers, dispatcher& servers,
+                         std::function<connection_plan(const service_name&)> plan)
+    : servers_{servers}, plan_{std::move(plan)} {
+    timers.schedule_after(settle_time, [this] {
+        settling_ = false;
+        publish_all();
+    });
     timers.schedule_after(start_time, [this] {
         just_started_ = false;
         publish_all();
@@ -47,9 +55,11 @@
 void server_pool::publish(const server_entry& entry) {
     const auto known = max_connections_.find(entry.service);
     const std::uint32_t most = known == max_connections_.end() ? unknown_connections : known->second;
+    const connection_plan plan = plan_(entry.service);
     const std::uint32_t share =
-        just_started_ ? connection_share_after_start(most, nodes_) : connection_share(most, nodes_);
-    servers_.put_server({id_of(entry), entry.address, entry.domain, entry.name}, {share, entry.slots});
+        just_started_ ? connection_share_after_start(most, plan.nodes) : connection_share(most, plan.nodes);
+    servers_.put_server({id_of(entry), entry.address, entry.domain, entry.name},
+                        {share, entry.slots, plan.is_kept && !settling_});
 }
 
 void server_pool::publish_set(const service_name& service) {
@@ -85,11 +95,6 @@
     publish_all();
 }
 
-void server_pool::on_nodes(std::uint32_t nodes) {
-    if (std::exchange(nodes_, nodes) != nodes)
-        publish_all();
-}
-
 void server_pool::publish_all() {
     for (const auto& [id, entry] : entries_)
         publish(entry);
--- a/packages/core/upstreams/server_pool.h
+++ b/packages/core/upstreams/server_pool.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
-#include <set>
 
 #include "core/base/timer_queue.h"
 #include "core/config/route_table.h"
@@ -33,32 +33,41 @@
 /** @return the replica set of a service's servers. */
 [[nodiscard]] replica_set_name set_of(const service_name& service);
 
+/** Which nodes connect to the servers of a service. */
+struct connection_plan {
+    std::uint32_t nodes = 1; ///< that share the servers' connections, this one included
+    bool is_kept = true;     ///< whether this node keeps connections to them; else it opens them when needed
+};
+
 /** The servers of routed services. */
 class server_pool {
 public:
     /**
      * @param timers the clock
      * @param servers what is told
+     * @param plan which nodes connect to a service's servers
      */
-    server_pool(timer_queue& timers, dispatcher& servers);
+    server_pool(timer_queue& timers, dispatcher& servers,
+                std::function<connection_plan(const service_name&)> plan);
 
     /** Takes a change of the registry. */
     void on_entry(const server_entry& entry, bool removed);
     /** Takes routes that are in force now: they say what a server takes. */
     void on_routes(const route_table& table);
-    /** Takes the number of running nodes. */
-    void on_nodes(std::uint32_t nodes);
+    /** Takes that other nodes share the connections now. */
+    void on_nodes_changed() { publish_all(); }
 
 private:
     void publish(const server_entry& entry);
     void publish_all();
     void publish_set(const service_name& service);
 
-    dispatcher& servers_;                                   ///< what is told
-    std::map<upstream_id, server_entry> entries_;           ///< of servers that have not left
-    std::map<service_name, std::uint32_t> max_connections_; ///< of each described service
-    std::uint32_t nodes_ = 1;                               ///< see on_nodes()
-    bool just_started_ = true;                              ///< see connection_share_after_start()
+    dispatcher& servers_;                                      ///< what is told
+    std::map<upstream_id, server_entry> entries_;              ///< of servers that have not left
+    std::map<service_name, std::uint32_t> max_connections_;    ///< of each described service
+    std::function<connection_plan(const service_name&)> plan_; ///< see server_pool()
+    bool settling_ = true;                                     ///< few other nodes may be known yet
+    bool just_started_ = true;                                 ///< see connection_share_after_start()
 };
 
 } // namespace pollengrade
--- a/packages/core/upstreams/upstream.cpp
+++ b/packages/core/upstreams/upstream.cpp
@@ -97,15 +97,19 @@
     return flights_.empty() ? duration{0} : now - flights_.front().sent;
 }
 
-std::vector<connection_id> upstream::idle_connections() const {
+std::vector<connection_id> upstream::unused_since(time_point when) const {
     std::vector<connection_id> idle;
     for (const link& it : links_) {
-        if (it.open && !it.busy)
+        if (it.open && !it.busy && it.last_used < when)
             idle.push_back(it.id);
     }
     return idle;
 }
 
+std::vector<connection_id> upstream::idle_connections() const {
+    return unused_since(time_point::max());
+}
+
 upstream::link& upstream::at(connection_id id) {
     const auto it =
         std::find_if(links_.begin(), links_.end(), [id](const link& one) { return one.id == id; });
--- a/packages/core/upstreams/upstream.h
+++ b/packages/core/upstreams/upstream.h
@@ -28,6 +28,7 @@
 struct upstream_limits {
     std::uint32_t max_connections = 2; ///< this node's share of the server's connections
     std::uint32_t slots = 2;           ///< requests the server runs at a time, from all nodes
+    bool keep_open = true;             ///< whether a connection is kept ready; else one is opened when needed
 };
 
 /** Whether a server is to be sent new requests. */
@@ -96,6 +97,8 @@
     [[nodiscard]] duration oldest_age(time_point now) const;
     /** @return requests that have come to count as lost with their connection since the last call. */
     [[nodiscard]] std::vector<request_in_flight> take_silent_flights(time_point now);
+    /** @return connections without a request that were last used before a time. */
+    [[nodiscard]] std::vector<connection_id> unused_since(time_point when) const;
     /** @return connections without a request. */
     [[nodiscard]] std::vector<connection_id> idle_connections() const;
 
--- a/packages/ctl/explain_command.cpp
+++ b/packages/ctl/explain_command.cpp
@@ -61,11 +61,12 @@
 }
 
 std::string text_of(const log_line_parts& it) {
-    std::string text = it.node + " " + it.event;
+    std::string text = it.node;
+    text.append(" ").append(it.event);
     if (!it.subject.empty())
-        text += " " + it.subject;
+        text.append(" ").append(it.subject);
     for (const auto& [name, value] : it.pairs)
-        text += " " + name + "=" + value;
+        text.append(" ").append(name).append("=").append(value);
     return text;
 }
 
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -12,6 +12,10 @@
 
 constexpr std::size_t relays_per_domain = 2;    ///< nodes that watch the platform in a failure domain
 constexpr std::size_t document_push_fanout = 4; ///< nodes that a document is pushed on to: not all watch
+constexpr std::size_t divided_push_fanout = 2; ///< nodes that routes are pushed on to; a difference is pulled
+constexpr std::size_t announce_fanout =
+    2; ///< nodes greeted when the registry has changed, each greets as many
+constexpr duration announce_delay = std::chrono::milliseconds{100}; ///< changes of servers come in bursts
 constexpr duration peer_ask_period =
     std::chrono::milliseconds{500}; ///< while configuration is not complete, or the platform does not answer
 
@@ -21,6 +25,7 @@
     it.operators = settings.operators;
     it.name = settings.name;
     it.domain = settings.domain;
+    it.capacity = settings.capacity;
     it.life.start = static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
     return it;
 }
@@ -59,7 +64,7 @@
         spread_.on_greeting(from);
         registry_.on_greeting(from);
     };
-    it.changed = [this] { hooks_.live_changed(static_cast<std::uint32_t>(membership_.live().size())); };
+    it.changed = [this] { hooks_.live_changed(membership_.live_members()); };
     return it;
 }
 
@@ -83,7 +88,10 @@
         const auto drawn = membership_.draw(1);
         return drawn.empty() ? std::nullopt : std::optional{drawn.front()};
     };
-    it.taken = [this] { hooks_.completed(); };
+    it.taken = [this] {
+        hooks_.completed();
+        announce();
+    };
     return it;
 }
 
@@ -100,9 +108,9 @@
     it.members = [this] { return membership_.all(); };
     it.on_push = [this](const std::vector<config_entry>& entries) { spread_.take(entries); };
     it.on_pull = [this](const std::vector<config_version>& known) { return spread_.answer_pull(known); };
-    it.servers_after = [this](object_version later_than) {
-        return servers_.revision() > later_than ? servers_.snapshot() : registry_snapshot{};
-    };
+    it.servers_after = [this](object_version later_than) { return servers_.update_after(later_than); };
+    it.run_query = hooks_.run_query;
+    it.withdraw_query = hooks_.withdraw_query;
     return it;
 }
 
@@ -132,6 +140,22 @@
     });
 }
 
+void cluster::set_duty(bool divided, bool on_duty) {
+    divided_ = divided;
+    registry_.set_fed(on_duty);
+    if (is_routed_)
+        spread_.set_push_fanout(divided ? divided_push_fanout : 0);
+}
+
+void cluster::announce() {
+    if (!divided_ || std::exchange(announcing_, true))
+        return;
+    clock_.timers().schedule_after(announce_delay, [this] {
+        announcing_ = false;
+        membership_.greet(announce_fanout);
+    });
+}
+
 bool cluster::is_relay() const {
     const auto& self = membership_.self();
     const auto candidates = membership_.live(self.domain);
--- a/packages/daemon/cluster.h
+++ b/packages/daemon/cluster.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <span>
 
 #include <tl/expected.hpp>
 
@@ -13,6 +14,7 @@
 #include "core/cluster/registry_spread.h"
 #include "core/config/config_store.h"
 #include "core/config/node_settings.h"
+#include "core/queries/delegation.h"
 #include "peer/kj_loop.h"
 #include "peer/peer_client.h"
 #include "peer/peer_server.h"
@@ -22,8 +24,11 @@
 
 /** What the cluster needs of its node. */
 struct cluster_hooks {
-    std::function<void()> completed;                 ///< all configuration is held
-    std::function<void(std::uint32_t)> live_changed; ///< takes the number of live nodes, this one included
+    std::function<void()> completed;                           ///< all configuration is held
+    std::function<void(std::span<const member>)> live_changed; ///< takes the live nodes, this one included
+    /** Runs a query for another node; see peer_hooks. */
+    std::function<run_id(const delegated_request&, std::function<void(delegated_answer)>)> run_query;
+    std::function<void(run_id)> withdraw_query; ///< the other node does not wait any more
 };
 
 /** Everything between this node and the others. */
@@ -49,6 +54,16 @@
     void leave() { membership_.leave(); }
     /** Takes word of whether the platform's store answers. */
     void on_store_reached(bool reached);
+    /**
+     * Takes whether only some nodes wait for changes in the platform's store, and whether this is one of
+     * them: they pass changes on.
+     */
+    void set_duty(bool divided, bool on_duty);
+    /** The registry has changed: other nodes are greeted soon, if they wait for word from here. */
+    void announce();
+
+    /** @return calls to other nodes. */
+    [[nodiscard]] peer_client& calls() noexcept { return client_; }
 
     [[nodiscard]] const membership& nodes() const noexcept { return membership_; }
     [[nodiscard]] config_spread& configuration() noexcept { return spread_; }
@@ -73,6 +88,9 @@
     registry_spread registry_; ///< the registry from peers
     peer_server server_;       ///< calls from peers
     node_address address_;     ///< where peers are served
+    bool is_routed_;           ///< whether callers are served by the users' routes
+    bool divided_ = false;     ///< see set_duty()
+    bool announcing_ = false;  ///< whether a greeting is due
     bool reached_ = true;      ///< whether the platform's store answers
     bool seeking_ = false;     ///< whether seek_peers_configuration() is scheduled
 };
--- a/packages/daemon/document_front.cpp
+++ b/packages/daemon/document_front.cpp
@@ -68,6 +68,11 @@
         servers_.note_live(id, life);
 }
 
+run_id document_front::run_query(const delegated_request&, std::function<void(delegated_answer)> respond) {
+    respond({refused_answer{forward_refusal::not_configured, duration{0}}, object_version{}, true});
+    return run_id{};
+}
+
 void document_front::start_leaving() {
     leaving_ = true;
     callers_.listener().stop_keeping();
--- a/packages/daemon/document_front.h
+++ b/packages/daemon/document_front.h
@@ -21,7 +21,14 @@
     tl::expected<void, listen_error> listen() override { return callers_.listen(address_); }
     bool apply(const config_entry& entry) override;
     void on_server(const server_entry& entry, bool removed) override;
-    void on_nodes(std::uint32_t nodes) override { router_.set_holders(holder_count{nodes}); }
+    void on_nodes(std::span<const member> nodes) override {
+        router_.set_holders(holder_count{static_cast<std::uint32_t>(nodes.size())});
+    }
+    [[nodiscard]] bool is_divided() const override { return false; }
+    [[nodiscard]] bool is_on_duty() const override { return true; }
+    run_id run_query(const delegated_request& request,
+                     std::function<void(delegated_answer)> respond) override;
+    void withdraw_query(run_id) override {}
     void set_ready() override { router_.set_ready(); }
     [[nodiscard]] bool is_ready() const override { return router_.is_ready() && !leaving_; }
     void start_leaving() override;
--- a/packages/daemon/front.h
+++ b/packages/daemon/front.h
@@ -2,14 +2,16 @@
 #pragma once
 
 #include <functional>
+#include <span>
 
 #include <tl/expected.hpp>
 
 #include "core/base/event_log.h"
 #include "core/base/metrics.h"
+#include "core/cluster/member_type.h"
 #include "core/config/config_store.h"
 #include "core/config/server_entry.h"
-#include "core/queries/gather.h"
+#include "core/queries/delegation.h"
 #include "net/http_listener.h"
 #include "json/json_view.h"
 
@@ -31,8 +33,17 @@
     virtual bool apply(const config_entry& entry) = 0;
     /** Takes a change of the registry. */
     virtual void on_server(const server_entry& entry, bool removed) = 0;
-    /** Takes the number of running nodes. */
-    virtual void on_nodes(std::uint32_t nodes) = 0;
+    /** Takes the running nodes, this one included. */
+    virtual void on_nodes(std::span<const member> nodes) = 0;
+    /** @return whether only some nodes wait for changes in the platform's store, and tell the others. */
+    [[nodiscard]] virtual bool is_divided() const = 0;
+    /** @return whether this node is one of them. */
+    [[nodiscard]] virtual bool is_on_duty() const = 0;
+    /** Runs another node's query. @return an ID that withdraw_query() takes */
+    virtual run_id run_query(const delegated_request& request,
+                             std::function<void(delegated_answer)> respond) = 0;
+    /** The other node does not wait any more. */
+    virtual void withdraw_query(run_id id) = 0;
     /** All that is needed to serve is held. */
     virtual void set_ready() = 0;
     /** @return whether the balancer may send here. */
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -63,7 +63,7 @@
           clock_.timers(), log_, counts_, random_, settings_.domain, upstream_network::hooks_of(network_)},
       registry_{clock_.timers(), log_, counts_,
                 [this](const server_entry& entry, bool removed) { front_->on_server(entry, removed); }},
-      store_{[this](const config_entry& entry) { return front_->apply(entry); }}, front_{make_front()},
+      store_{[this](const config_entry& entry) { return apply(entry); }}, front_{make_front()},
       cluster_{settings_,
                clock_,
                log_,
@@ -72,11 +72,14 @@
                registry_,
                random_,
                {[this] { check_complete(); },
-                [this](std::uint32_t live) {
+                [this](std::span<const member> live) {
                     front_->on_nodes(live);
-                    for (const auto& it : feeds_)
-                        it->on_duty_changed();
-                }}},
+                    update_duty();
+                },
+                [this](const delegated_request& request, std::function<void(delegated_answer)> respond) {
+                    return front_->run_query(request, std::move(respond));
+                },
+                [this](run_id id) { front_->withdraw_query(id); }}},
       operators_{
           poller_,
           clock_.timers(),
@@ -97,12 +100,31 @@
 std::unique_ptr<front> node::make_front() {
     const run_context context{clock_.timers(), servers_, log_, counts_};
     if (settings_.form == interface_form::routes)
-        return std::make_unique<route_front>(settings_, poller_, context);
+        return std::make_unique<route_front>(settings_, poller_, context, random_, make_delegation_hooks(),
+                                             [this] { cluster_.configuration().pull_from_peers(); });
     return std::make_unique<document_front>(settings_, poller_,
                                             router_parts{servers_, clock_.timers(), log_, counts_, random_,
                                                          wall_now, platform_.claim_hooks(), holder_count{1}});
 }
 
+delegation_hooks node::make_delegation_hooks() {
+    // The cluster is made after the front: its hooks are looked up with each call.
+    delegation_hooks it;
+    it.send = [this](delegation_call id, const node_address& to, const delegated_request& request,
+                     std::function<void()> seen, std::function<void(std::optional<delegated_answer>)> done) {
+        cluster_.calls().forward(id, to, request, std::move(seen), std::move(done));
+    };
+    it.cancel = [this](delegation_call id) { cluster_.calls().cancel(id); };
+    it.domain_of = [this](const node_address& at) { return cluster_.nodes().domain_of(at); };
+    return it;
+}
+
+void node::update_duty() {
+    cluster_.set_duty(front_->is_divided(), front_->is_on_duty());
+    for (const auto& it : feeds_)
+        it->on_duty_changed();
+}
+
 void node::add_feed(object_kind kind, duration rest) {
     feed_hooks hooks;
     hooks.list = [this, kind](duration limit, feed_hooks::listed done) {
@@ -116,7 +138,7 @@
     hooks.reached = [this](bool reached) { on_store_reached(reached); };
     // Servers' entries are not passed on between nodes while the store answers: every node watches them.
     const bool is_relayed = settings_.form == interface_form::documents && kind != object_kind::servers;
-    hooks.is_on_duty = [this, is_relayed] { return !is_relayed || cluster_.is_relay(); };
+    hooks.is_on_duty = [this, is_relayed] { return is_relayed ? cluster_.is_relay() : front_->is_on_duty(); };
     feeds_.push_back(std::make_unique<object_feed>(clock_.timers(), random_, rest, std::move(hooks)));
 }
 
@@ -158,6 +180,7 @@
 void node::on_feed_changes(object_kind kind, const object_changes& changes) {
     if (kind == object_kind::servers) {
         registry_.apply(changes);
+        cluster_.announce();
         return;
     }
     std::vector<config_entry> entries;
@@ -168,6 +191,12 @@
     cluster_.configuration().take(entries);
 }
 
+bool node::apply(const config_entry& entry) {
+    const bool is_right = front_->apply(entry);
+    update_duty();
+    return is_right;
+}
+
 void node::on_store_reached(bool reached) {
     cluster_.on_store_reached(reached);
 }
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -47,6 +47,9 @@
 
 private:
     std::unique_ptr<front> make_front();
+    delegation_hooks make_delegation_hooks();
+    void update_duty();
+    bool apply(const config_entry& entry);
     void add_feed(object_kind kind, duration rest);
     void on_feed_objects(object_kind kind, const object_list& list);
     void on_feed_changes(object_kind kind, const object_changes& changes);
--- a/packages/daemon/route_front.cpp
+++ b/packages/daemon/route_front.cpp
@@ -22,18 +22,28 @@
 constexpr caller_limits balancer_limits{
     {std::size_t{8} * 1024, std::size_t{1024}}, std::chrono::seconds{3}, std::chrono::seconds{60}};
 
-/** @return one node's bounds, as its share of those of all nodes. */
-load_budget_limits budget_share(const budget_settings& all, std::uint32_t nodes) {
-    constexpr double headroom = 0.9; // Windows are cut differently where they are counted.
-    return {all.ratio * headroom, all.slack * headroom / assumed_nodes(nodes), all.window};
-}
-
 } // namespace
 
-route_front::route_front(const node_settings& settings, socket_poller& poller, run_context context)
-    : callers_address_{settings.callers}, readiness_address_{settings.readiness}, budget_{settings.budget},
-      context_{context}, forwarder_{context, budget_share(settings.budget, 1)}, pool_{context.timers,
-                                                                                      context.servers},
+route_front::route_front(const node_settings& settings, socket_poller& poller, run_context context,
+                         const std::function<std::uint64_t()>& random, delegation_hooks network,
+                         std::function<void()> behind)
+    : self_{settings.peers}, callers_address_{settings.callers}, readiness_address_{settings.readiness},
+      budget_{settings.budget}, context_{context}, holders_{settings.peers},
+      forwarder_{context,
+                 random,
+                 settings.domain,
+                 {[this](const route& via) {
+                      const auto holders = holders_.holders_of(via);
+                      const bool has_self = std::find(holders.begin(), holders.end(), self_) != holders.end();
+                      return has_self ? std::vector<node_address>{}
+                                      : std::vector<node_address>{holders.begin(), holders.end()};
+                  },
+                  [this](const service_name& service) { return budget_of(service); }, std::move(behind)},
+                 std::move(network)},
+      pool_{context.timers, context.servers,
+            [this](const service_name& service) {
+                return connection_plan{holders_.sharing(service), holders_.holds(service)};
+            }},
       callers_{poller,
                context.timers,
                max_caller_connections,
@@ -48,6 +58,21 @@
                   },
                   [](exchange_id) {}, [] { return balancer_limits; }}} {}
 
+load_budget_limits route_front::budget_of(const service_name& service) const {
+    // One node's share of what all may send together. Where some nodes hold a service's connections, they do
+    // nearly all the sending: the others' share is only what their own few requests earn.
+    constexpr double headroom = 0.9; // Windows are cut differently where they are counted.
+    const double slack =
+        holders_.holds(service) ? budget_.slack / assumed_nodes(holders_.sharing(service)) : 0;
+    return {budget_.ratio * headroom, slack * headroom, budget_.window};
+}
+
+void route_front::update_holders() {
+    holders_.update(forwarder_.table(), nodes_);
+    pool_.on_nodes_changed();
+    forwarder_.refresh_budgets();
+}
+
 tl::expected<void, listen_error> route_front::listen() {
     if (const auto started = readiness_.listen(readiness_address_.value()); !started)
         return started;
@@ -65,14 +90,17 @@
             {{event_key::revision, entry.version.value()}, {event_key::reason, to_string(table.error())}});
         return false;
     }
-    if (forwarder_.apply(*table))
+    if (forwarder_.apply(*table)) {
+        holders_.update(*table, nodes_);
         pool_.on_routes(**table);
+        forwarder_.refresh_budgets();
+    }
     return true;
 }
 
-void route_front::on_nodes(std::uint32_t nodes) {
-    pool_.on_nodes(nodes);
-    forwarder_.set_budget(budget_share(budget_, nodes));
+void route_front::on_nodes(std::span<const member> nodes) {
+    nodes_.assign(nodes.begin(), nodes.end());
+    update_holders();
 }
 
 bool route_front::is_ready() const {
--- a/packages/daemon/route_front.h
+++ b/packages/daemon/route_front.h
@@ -3,6 +3,7 @@
 
 #include <unordered_map>
 
+#include "core/cluster/holders.h"
 #include "core/config/node_settings.h"
 #include "core/queries/forwarder.h"
 #include "core/upstreams/server_pool.h"
@@ -18,13 +19,25 @@
      * @param settings what the node is told
      * @param poller the loop's sockets
      * @param context what requests share
+     * @param random random numbers
+     * @param network calls to other nodes
+     * @param behind called when another node knows later routes
      */
-    route_front(const node_settings& settings, socket_poller& poller, run_context context);
+    route_front(const node_settings& settings, socket_poller& poller, run_context context,
+                const std::function<std::uint64_t()>& random, delegation_hooks network,
+                std::function<void()> behind);
 
     tl::expected<void, listen_error> listen() override;
     bool apply(const config_entry& entry) override;
     void on_server(const server_entry& entry, bool removed) override { pool_.on_entry(entry, removed); }
-    void on_nodes(std::uint32_t nodes) override;
+    void on_nodes(std::span<const member> nodes) override;
+    [[nodiscard]] bool is_divided() const override { return holders_.is_divided(); }
+    [[nodiscard]] bool is_on_duty() const override { return holders_.is_holder(); }
+    run_id run_query(const delegated_request& request,
+                     std::function<void(delegated_answer)> respond) override {
+        return forwarder_.submit_delegated(request, std::move(respond));
+    }
+    void withdraw_query(run_id id) override { forwarder_.abandon(id); }
     void set_ready() override { configured_ = true; }
     [[nodiscard]] bool is_ready() const override;
     void start_leaving() override;
@@ -36,12 +49,17 @@
     void on_request(exchange_id id, request_message message);
     void on_gone(exchange_id id);
     [[nodiscard]] caller_limits limits() const;
+    [[nodiscard]] load_budget_limits budget_of(const service_name& service) const;
+    void update_holders();
     void end_when_idle();
 
+    node_address self_;                            ///< this node among the others
     node_address callers_address_;                 ///< where callers are served
     node_address readiness_address_;               ///< where the balancer asks
     budget_settings budget_;                       ///< hedges and retries of all nodes
     run_context context_;                          ///< what requests share
+    std::vector<member> nodes_;                    ///< that are running
+    holder_table holders_;                         ///< which of them hold which connections
     forwarder forwarder_;                          ///< routes and running requests
     server_pool pool_;                             ///< the servers of routed services
     std::unordered_map<exchange_id, run_id> runs_; ///< of requests not answered yet
--- a/packages/peer/peer.capnp
+++ b/packages/peer/peer.capnp
@@ -13,6 +13,7 @@
   start @4 :UInt64;         # milliseconds since the epoch
   refutations @5 :UInt32;
   state @6 :UInt8;          # member_state
+  capacity @7 :UInt32;      # thousandths of a core
 }
 
 # A probe or its reply: constant in size.
@@ -37,6 +38,38 @@
   isLeaving @6 :Bool;
   warmupLeftMs @7 :Int64;
   version @8 :UInt64;       # the platform's revision
+  state @9 :UInt8;          # entry_state
+}
+
+struct Field {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+# A caller's query on its way to a holder: core/queries/delegation.h.
+struct DelegatedRequest {
+  id @0 :Text;
+  host @1 :Text;
+  method @2 :Text;
+  target @3 :Text;
+  fields @4 :List(Field);
+  body @5 :Data;
+  elapsedUs @6 :Int64;
+  leftUs @7 :Int64;
+  leastVersion @8 :UInt64;
+}
+
+struct DelegatedAnswer {
+  kind @0 :UInt8;            # the place of the answer in core/queries/forward_type.h, forward_answer
+  version @1 :UInt64;
+  isStale @2 :Bool;
+  status @3 :UInt32;         # passed
+  fields @4 :List(Field);    # passed
+  body @5 :Data;             # passed: body; gathered: records
+  signatures @6 :List(Text); # gathered
+  missing @7 :UInt32;        # gathered
+  reason @8 :UInt8;          # refused, failed
+  retryAfterUs @9 :Int64;    # refused
 }
 
 struct ConfigEntry {
@@ -53,6 +86,8 @@
   members @2 () -> (members :List(Member));
   push @3 (entries :List(ConfigEntry)) -> ();
   pull @4 (known :List(ConfigEntry)) -> (entries :List(ConfigEntry), complete :Bool);
-  # The registry, if it is later than a revision; else revision 0 and no entries.
-  servers @5 (laterThan :UInt64) -> (revision :UInt64, entries :List(ServerEntry));
+  # What the registry holds beyond a revision; revision 0 for nothing.
+  servers @5 (laterThan :UInt64) -> (revision :UInt64, isWhole :Bool, items :List(ServerEntry));
+  # Runs a query for a node that does not hold the connections to its shards.
+  forward @6 (request :DelegatedRequest) -> (answer :DelegatedAnswer);
 }
--- a/packages/peer/peer.capnp.h
+++ b/packages/peer/peer.capnp.h
@@ -22,6 +22,9 @@
 CAPNP_DECLARE_SCHEMA(ac7ef388347b274a);
 CAPNP_DECLARE_SCHEMA(c301247bd356c89f);
 CAPNP_DECLARE_SCHEMA(d192ca4076c7154b);
+CAPNP_DECLARE_SCHEMA(ffac76511af9adef);
+CAPNP_DECLARE_SCHEMA(aec64b647c5016e7);
+CAPNP_DECLARE_SCHEMA(c602fecf27b5cc27);
 CAPNP_DECLARE_SCHEMA(9e8d53481fdb03a3);
 CAPNP_DECLARE_SCHEMA(d688036a158d6553);
 CAPNP_DECLARE_SCHEMA(da04e7596f37c9a2);
@@ -36,6 +39,8 @@
 CAPNP_DECLARE_SCHEMA(d59837ac6340a168);
 CAPNP_DECLARE_SCHEMA(fbe6527ac43e6687);
 CAPNP_DECLARE_SCHEMA(dd9fa72988ef46a5);
+CAPNP_DECLARE_SCHEMA(93ebcee58ab6647f);
+CAPNP_DECLARE_SCHEMA(f5aaecdb814b7d56);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -51,7 +56,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ac7ef388347b274a, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(ac7ef388347b274a, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -88,6 +93,51 @@
   };
 };
 
+struct Field {
+  Field() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ffac76511af9adef, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct DelegatedRequest {
+  DelegatedRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aec64b647c5016e7, 3, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct DelegatedAnswer {
+  DelegatedAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c602fecf27b5cc27, 4, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ConfigEntry {
   ConfigEntry() = delete;
 
@@ -123,6 +173,8 @@
   struct PullResults;
   struct ServersParams;
   struct ServersResults;
+  struct ForwardParams;
+  struct ForwardResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -305,7 +357,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dd9fa72988ef46a5, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(dd9fa72988ef46a5, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ForwardParams {
+  ForwardParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(93ebcee58ab6647f, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ForwardResults {
+  ForwardResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f5aaecdb814b7d56, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -349,6 +431,8 @@
 
   inline  ::uint8_t getState() const;
 
+  inline  ::uint32_t getCapacity() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -414,6 +498,9 @@
   inline  ::uint8_t getState();
   inline void setState( ::uint8_t value);
 
+  inline  ::uint32_t getCapacity();
+  inline void setCapacity( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -596,6 +683,8 @@
 
   inline  ::uint64_t getVersion() const;
 
+  inline  ::uint8_t getState() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -667,6 +756,9 @@
   inline  ::uint64_t getVersion();
   inline void setVersion( ::uint64_t value);
 
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -693,9 +785,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfigEntry::Reader {
+class Field::Reader {
 public:
-  typedef ConfigEntry Reads;
+  typedef Field Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -710,15 +802,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getKind() const;
-
   inline bool hasName() const;
   inline  ::capnp::Text::Reader getName() const;
 
-  inline  ::uint64_t getVersion() const;
-
-  inline bool hasText() const;
-  inline  ::capnp::Data::Reader getText() const;
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -732,9 +820,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfigEntry::Builder {
+class Field::Builder {
 public:
-  typedef ConfigEntry Builds;
+  typedef Field Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -748,9 +836,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getKind();
-  inline void setKind( ::uint8_t value);
-
   inline bool hasName();
   inline  ::capnp::Text::Builder getName();
   inline void setName( ::capnp::Text::Reader value);
@@ -758,15 +843,12 @@
   inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
-
-  inline bool hasText();
-  inline  ::capnp::Data::Builder getText();
-  inline void setText( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownText();
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -778,9 +860,9 @@
 };
 
 #if !CAPNP_LITE
-class ConfigEntry::Pipeline {
+class Field::Pipeline {
 public:
-  typedef ConfigEntry Pipelines;
+  typedef Field Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -794,92 +876,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::pollengrade::wire::Peer::ProbeParams,  ::pollengrade::wire::Peer::ProbeResults> probeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollengrade::wire::Peer::ProbeThroughParams,  ::pollengrade::wire::Peer::ProbeThroughResults> probeThroughRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollengrade::wire::Peer::MembersParams,  ::pollengrade::wire::Peer::MembersResults> membersRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollengrade::wire::Peer::PushParams,  ::pollengrade::wire::Peer::PushResults> pushRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollengrade::wire::Peer::PullParams,  ::pollengrade::wire::Peer::PullResults> pullRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pollengrade::wire::Peer::ServersParams,  ::pollengrade::wire::Peer::ServersResults> serversRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::pollengrade::wire::Peer::ProbeParams ProbeParams;
-  typedef  ::pollengrade::wire::Peer::ProbeResults ProbeResults;
-  typedef ::capnp::CallContext<ProbeParams, ProbeResults> ProbeContext;
-  virtual ::kj::Promise<void> probe(ProbeContext context);
-  typedef  ::pollengrade::wire::Peer::ProbeThroughParams ProbeThroughParams;
-  typedef  ::pollengrade::wire::Peer::ProbeThroughResults ProbeThroughResults;
-  typedef ::capnp::CallContext<ProbeThroughParams, ProbeThroughResults> ProbeThroughContext;
-  virtual ::kj::Promise<void> probeThrough(ProbeThroughContext context);
-  typedef  ::pollengrade::wire::Peer::MembersParams MembersParams;
-  typedef  ::pollengrade::wire::Peer::MembersResults MembersResults;
-  typedef ::capnp::CallContext<MembersParams, MembersResults> MembersContext;
-  virtual ::kj::Promise<void> members(MembersContext context);
-  typedef  ::pollengrade::wire::Peer::PushParams PushParams;
-  typedef  ::pollengrade::wire::Peer::PushResults PushResults;
-  typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
-  virtual ::kj::Promise<void> push(PushContext context);
-  typedef  ::pollengrade::wire::Peer::PullParams PullParams;
-  typedef  ::pollengrade::wire::Peer::PullResults PullResults;
-  typedef ::capnp::CallContext<PullParams, PullResults> PullContext;
-  virtual ::kj::Promise<void> pull(PullContext context);
-  typedef  ::pollengrade::wire::Peer::ServersParams ServersParams;
-  typedef  ::pollengrade::wire::Peer::ServersResults ServersResults;
-  typedef ::capnp::CallContext<ServersParams, ServersResults> ServersContext;
-  virtual ::kj::Promise<void> servers(ServersContext context);
-
-  inline  ::pollengrade::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::pollengrade::wire::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::ProbeParams::Reader {
+class DelegatedRequest::Reader {
 public:
-  typedef ProbeParams Reads;
+  typedef DelegatedRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -894,8 +893,29 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGreeting() const;
-  inline  ::pollengrade::wire::Greeting::Reader getGreeting() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline bool hasMethod() const;
+  inline  ::capnp::Text::Reader getMethod() const;
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline bool hasFields() const;
+  inline  ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Reader getFields() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline  ::int64_t getElapsedUs() const;
+
+  inline  ::int64_t getLeftUs() const;
+
+  inline  ::uint64_t getLeastVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -909,9 +929,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ProbeParams::Builder {
+class DelegatedRequest::Builder {
 public:
-  typedef ProbeParams Builds;
+  typedef DelegatedRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -925,12 +945,56 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGreeting();
-  inline  ::pollengrade::wire::Greeting::Builder getGreeting();
-  inline void setGreeting( ::pollengrade::wire::Greeting::Reader value);
-  inline  ::pollengrade::wire::Greeting::Builder initGreeting();
-  inline void adoptGreeting(::capnp::Orphan< ::pollengrade::wire::Greeting>&& value);
-  inline ::capnp::Orphan< ::pollengrade::wire::Greeting> disownGreeting();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline bool hasMethod();
+  inline  ::capnp::Text::Builder getMethod();
+  inline void setMethod( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMethod(unsigned int size);
+  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline bool hasFields();
+  inline  ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Builder getFields();
+  inline void setFields( ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Builder initFields(unsigned int size);
+  inline void adoptFields(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>> disownFields();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline  ::int64_t getElapsedUs();
+  inline void setElapsedUs( ::int64_t value);
+
+  inline  ::int64_t getLeftUs();
+  inline void setLeftUs( ::int64_t value);
+
+  inline  ::uint64_t getLeastVersion();
+  inline void setLeastVersion( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -942,15 +1006,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ProbeParams::Pipeline {
+class DelegatedRequest::Pipeline {
 public:
-  typedef ProbeParams Pipelines;
+  typedef DelegatedRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::pollengrade::wire::Greeting::Pipeline getGreeting();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -959,9 +1022,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ProbeResults::Reader {
+class DelegatedAnswer::Reader {
 public:
-  typedef ProbeResults Reads;
+  typedef DelegatedAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -976,8 +1039,28 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGreeting() const;
-  inline  ::pollengrade::wire::Greeting::Reader getGreeting() const;
+  inline  ::uint8_t getKind() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool getIsStale() const;
+
+  inline  ::uint32_t getStatus() const;
+
+  inline bool hasFields() const;
+  inline  ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Reader getFields() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline bool hasSignatures() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getSignatures() const;
+
+  inline  ::uint32_t getMissing() const;
+
+  inline  ::uint8_t getReason() const;
+
+  inline  ::int64_t getRetryAfterUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -991,9 +1074,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ProbeResults::Builder {
+class DelegatedAnswer::Builder {
 public:
-  typedef ProbeResults Builds;
+  typedef DelegatedAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1007,12 +1090,48 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGreeting();
-  inline  ::pollengrade::wire::Greeting::Builder getGreeting();
-  inline void setGreeting( ::pollengrade::wire::Greeting::Reader value);
-  inline  ::pollengrade::wire::Greeting::Builder initGreeting();
-  inline void adoptGreeting(::capnp::Orphan< ::pollengrade::wire::Greeting>&& value);
-  inline ::capnp::Orphan< ::pollengrade::wire::Greeting> disownGreeting();
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool getIsStale();
+  inline void setIsStale(bool value);
+
+  inline  ::uint32_t getStatus();
+  inline void setStatus( ::uint32_t value);
+
+  inline bool hasFields();
+  inline  ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Builder getFields();
+  inline void setFields( ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Builder initFields(unsigned int size);
+  inline void adoptFields(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>> disownFields();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline bool hasSignatures();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getSignatures();
+  inline void setSignatures( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setSignatures(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initSignatures(unsigned int size);
+  inline void adoptSignatures(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownSignatures();
+
+  inline  ::uint32_t getMissing();
+  inline void setMissing( ::uint32_t value);
+
+  inline  ::uint8_t getReason();
+  inline void setReason( ::uint8_t value);
+
+  inline  ::int64_t getRetryAfterUs();
+  inline void setRetryAfterUs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1024,15 +1143,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ProbeResults::Pipeline {
+class DelegatedAnswer::Pipeline {
 public:
-  typedef ProbeResults Pipelines;
+  typedef DelegatedAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::pollengrade::wire::Greeting::Pipeline getGreeting();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1041,9 +1159,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ProbeThroughParams::Reader {
+class ConfigEntry::Reader {
 public:
-  typedef ProbeThroughParams Reads;
+  typedef ConfigEntry Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1058,8 +1176,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline  ::uint8_t getKind() const;
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasText() const;
+  inline  ::capnp::Data::Reader getText() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1073,9 +1198,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ProbeThroughParams::Builder {
+class ConfigEntry::Builder {
 public:
-  typedef ProbeThroughParams Builds;
+  typedef ConfigEntry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1089,12 +1214,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasText();
+  inline  ::capnp::Data::Builder getText();
+  inline void setText( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownText();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1106,9 +1244,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ProbeThroughParams::Pipeline {
+class ConfigEntry::Pipeline {
 public:
-  typedef ProbeThroughParams Pipelines;
+  typedef ConfigEntry Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1122,9 +1260,98 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ProbeThroughResults::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef ProbeThroughResults Reads;
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::pollengrade::wire::Peer::ProbeParams,  ::pollengrade::wire::Peer::ProbeResults> probeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollengrade::wire::Peer::ProbeThroughParams,  ::pollengrade::wire::Peer::ProbeThroughResults> probeThroughRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollengrade::wire::Peer::MembersParams,  ::pollengrade::wire::Peer::MembersResults> membersRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollengrade::wire::Peer::PushParams,  ::pollengrade::wire::Peer::PushResults> pushRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollengrade::wire::Peer::PullParams,  ::pollengrade::wire::Peer::PullResults> pullRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollengrade::wire::Peer::ServersParams,  ::pollengrade::wire::Peer::ServersResults> serversRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pollengrade::wire::Peer::ForwardParams,  ::pollengrade::wire::Peer::ForwardResults> forwardRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::pollengrade::wire::Peer::ProbeParams ProbeParams;
+  typedef  ::pollengrade::wire::Peer::ProbeResults ProbeResults;
+  typedef ::capnp::CallContext<ProbeParams, ProbeResults> ProbeContext;
+  virtual ::kj::Promise<void> probe(ProbeContext context);
+  typedef  ::pollengrade::wire::Peer::ProbeThroughParams ProbeThroughParams;
+  typedef  ::pollengrade::wire::Peer::ProbeThroughResults ProbeThroughResults;
+  typedef ::capnp::CallContext<ProbeThroughParams, ProbeThroughResults> ProbeThroughContext;
+  virtual ::kj::Promise<void> probeThrough(ProbeThroughContext context);
+  typedef  ::pollengrade::wire::Peer::MembersParams MembersParams;
+  typedef  ::pollengrade::wire::Peer::MembersResults MembersResults;
+  typedef ::capnp::CallContext<MembersParams, MembersResults> MembersContext;
+  virtual ::kj::Promise<void> members(MembersContext context);
+  typedef  ::pollengrade::wire::Peer::PushParams PushParams;
+  typedef  ::pollengrade::wire::Peer::PushResults PushResults;
+  typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
+  virtual ::kj::Promise<void> push(PushContext context);
+  typedef  ::pollengrade::wire::Peer::PullParams PullParams;
+  typedef  ::pollengrade::wire::Peer::PullResults PullResults;
+  typedef ::capnp::CallContext<PullParams, PullResults> PullContext;
+  virtual ::kj::Promise<void> pull(PullContext context);
+  typedef  ::pollengrade::wire::Peer::ServersParams ServersParams;
+  typedef  ::pollengrade::wire::Peer::ServersResults ServersResults;
+  typedef ::capnp::CallContext<ServersParams, ServersResults> ServersContext;
+  virtual ::kj::Promise<void> servers(ServersContext context);
+  typedef  ::pollengrade::wire::Peer::ForwardParams ForwardParams;
+  typedef  ::pollengrade::wire::Peer::ForwardResults ForwardResults;
+  typedef ::capnp::CallContext<ForwardParams, ForwardResults> ForwardContext;
+  virtual ::kj::Promise<void> forward(ForwardContext context);
+
+  inline  ::pollengrade::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::pollengrade::wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ProbeParams::Reader {
+public:
+  typedef ProbeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1139,7 +1366,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getReached() const;
+  inline bool hasGreeting() const;
+  inline  ::pollengrade::wire::Greeting::Reader getGreeting() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1153,9 +1381,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ProbeThroughResults::Builder {
+class Peer::ProbeParams::Builder {
 public:
-  typedef ProbeThroughResults Builds;
+  typedef ProbeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1169,8 +1397,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getReached();
-  inline void setReached(bool value);
+  inline bool hasGreeting();
+  inline  ::pollengrade::wire::Greeting::Builder getGreeting();
+  inline void setGreeting( ::pollengrade::wire::Greeting::Reader value);
+  inline  ::pollengrade::wire::Greeting::Builder initGreeting();
+  inline void adoptGreeting(::capnp::Orphan< ::pollengrade::wire::Greeting>&& value);
+  inline ::capnp::Orphan< ::pollengrade::wire::Greeting> disownGreeting();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1182,14 +1414,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ProbeThroughResults::Pipeline {
+class Peer::ProbeParams::Pipeline {
 public:
-  typedef ProbeThroughResults Pipelines;
+  typedef ProbeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::pollengrade::wire::Greeting::Pipeline getGreeting();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1198,9 +1431,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::MembersParams::Reader {
+class Peer::ProbeResults::Reader {
 public:
-  typedef MembersParams Reads;
+  typedef ProbeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1215,6 +1448,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasGreeting() const;
+  inline  ::pollengrade::wire::Greeting::Reader getGreeting() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1227,9 +1463,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::MembersParams::Builder {
+class Peer::ProbeResults::Builder {
 public:
-  typedef MembersParams Builds;
+  typedef ProbeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1243,6 +1479,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasGreeting();
+  inline  ::pollengrade::wire::Greeting::Builder getGreeting();
+  inline void setGreeting( ::pollengrade::wire::Greeting::Reader value);
+  inline  ::pollengrade::wire::Greeting::Builder initGreeting();
+  inline void adoptGreeting(::capnp::Orphan< ::pollengrade::wire::Greeting>&& value);
+  inline ::capnp::Orphan< ::pollengrade::wire::Greeting> disownGreeting();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1253,14 +1496,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::MembersParams::Pipeline {
+class Peer::ProbeResults::Pipeline {
 public:
-  typedef MembersParams Pipelines;
+  typedef ProbeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::pollengrade::wire::Greeting::Pipeline getGreeting();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1269,9 +1513,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::MembersResults::Reader {
+class Peer::ProbeThroughParams::Reader {
 public:
-  typedef MembersResults Reads;
+  typedef ProbeThroughParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1286,8 +1530,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::pollengrade::wire::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1301,9 +1545,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::MembersResults::Builder {
+class Peer::ProbeThroughParams::Builder {
 public:
-  typedef MembersResults Builds;
+  typedef ProbeThroughParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1317,12 +1561,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMembers();
-  inline  ::capnp::List< ::pollengrade::wire::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::pollengrade::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::pollengrade::wire::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1334,9 +1578,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::MembersResults::Pipeline {
+class Peer::ProbeThroughParams::Pipeline {
 public:
-  typedef MembersResults Pipelines;
+  typedef ProbeThroughParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1350,9 +1594,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::PushParams::Reader {
+class Peer::ProbeThroughResults::Reader {
 public:
-  typedef PushParams Reads;
+  typedef ProbeThroughResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1367,8 +1611,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+  inline bool getReached() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1382,9 +1625,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::PushParams::Builder {
+class Peer::ProbeThroughResults::Builder {
 public:
-  typedef PushParams Builds;
+  typedef ProbeThroughResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1398,12 +1641,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntries();
-  inline  ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+  inline bool getReached();
+  inline void setReached(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1415,9 +1654,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::PushParams::Pipeline {
+class Peer::ProbeThroughResults::Pipeline {
 public:
-  typedef PushParams Pipelines;
+  typedef ProbeThroughResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1431,9 +1670,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::PushResults::Reader {
+class Peer::MembersParams::Reader {
 public:
-  typedef PushResults Reads;
+  typedef MembersParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1460,9 +1699,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::PushResults::Builder {
+class Peer::MembersParams::Builder {
 public:
-  typedef PushResults Builds;
+  typedef MembersParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1486,9 +1725,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::PushResults::Pipeline {
+class Peer::MembersParams::Pipeline {
 public:
-  typedef PushResults Pipelines;
+  typedef MembersParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1502,9 +1741,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::PullParams::Reader {
+class Peer::MembersResults::Reader {
 public:
-  typedef PullParams Reads;
+  typedef MembersResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1519,8 +1758,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKnown() const;
-  inline  ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Reader getKnown() const;
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::pollengrade::wire::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1534,9 +1773,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::PullParams::Builder {
+class Peer::MembersResults::Builder {
 public:
-  typedef PullParams Builds;
+  typedef MembersResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1550,14 +1789,247 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKnown();
-  inline  ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Builder getKnown();
-  inline void setKnown( ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Builder initKnown(unsigned int size);
-  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>> disownKnown();
-
-private:
+  inline bool hasMembers();
+  inline  ::capnp::List< ::pollengrade::wire::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::pollengrade::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollengrade::wire::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::MembersResults::Pipeline {
+public:
+  typedef MembersResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PushParams::Reader {
+public:
+  typedef PushParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PushParams::Builder {
+public:
+  typedef PushParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PushParams::Pipeline {
+public:
+  typedef PushParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PushResults::Reader {
+public:
+  typedef PushResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PushResults::Builder {
+public:
+  typedef PushResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PushResults::Pipeline {
+public:
+  typedef PushResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PullParams::Reader {
+public:
+  typedef PullParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKnown() const;
+  inline  ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Reader getKnown() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PullParams::Builder {
+public:
+  typedef PullParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKnown();
+  inline  ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Builder getKnown();
+  inline void setKnown( ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>::Builder initKnown(unsigned int size);
+  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ConfigEntry,  ::capnp::Kind::STRUCT>> disownKnown();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1764,8 +2236,10 @@
 
   inline  ::uint64_t getRevision() const;
 
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+  inline bool getIsWhole() const;
+
+  inline bool hasItems() const;
+  inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader getItems() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1798,12 +2272,15 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
-  inline bool hasEntries();
-  inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+  inline bool getIsWhole();
+  inline void setIsWhole(bool value);
+
+  inline bool hasItems();
+  inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder getItems();
+  inline void setItems( ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
+  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>> disownItems();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1831,17 +2308,181 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::ForwardParams::Reader {
+public:
+  typedef ForwardParams Reads;
 
-inline bool Member::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Member::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Member::Reader::getAddress() const {
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::pollengrade::wire::DelegatedRequest::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ForwardParams::Builder {
+public:
+  typedef ForwardParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::pollengrade::wire::DelegatedRequest::Builder getRequest();
+  inline void setRequest( ::pollengrade::wire::DelegatedRequest::Reader value);
+  inline  ::pollengrade::wire::DelegatedRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::pollengrade::wire::DelegatedRequest>&& value);
+  inline ::capnp::Orphan< ::pollengrade::wire::DelegatedRequest> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ForwardParams::Pipeline {
+public:
+  typedef ForwardParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pollengrade::wire::DelegatedRequest::Pipeline getRequest();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ForwardResults::Reader {
+public:
+  typedef ForwardResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAnswer() const;
+  inline  ::pollengrade::wire::DelegatedAnswer::Reader getAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ForwardResults::Builder {
+public:
+  typedef ForwardResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAnswer();
+  inline  ::pollengrade::wire::DelegatedAnswer::Builder getAnswer();
+  inline void setAnswer( ::pollengrade::wire::DelegatedAnswer::Reader value);
+  inline  ::pollengrade::wire::DelegatedAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::pollengrade::wire::DelegatedAnswer>&& value);
+  inline ::capnp::Orphan< ::pollengrade::wire::DelegatedAnswer> disownAnswer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ForwardResults::Pipeline {
+public:
+  typedef ForwardResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pollengrade::wire::DelegatedAnswer::Pipeline getAnswer();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Member::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
@@ -2011,6 +2652,20 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Member::Reader::getCapacity() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getCapacity() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setCapacity( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Greeting::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2084,279 +2739,811 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Greeting::Reader::getConfigDigest() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint64_t Greeting::Reader::getConfigDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Greeting::Builder::getConfigDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Greeting::Builder::setConfigDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Greeting::Reader::getConfigComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Greeting::Builder::getConfigComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Greeting::Builder::setConfigComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Greeting::Reader::getStampWallMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Greeting::Builder::getStampWallMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Greeting::Builder::setStampWallMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Greeting::Reader::getStampCounter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Greeting::Builder::getStampCounter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Greeting::Builder::setStampCounter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Greeting::Reader::getRegistryChanged() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Greeting::Builder::getRegistryChanged() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Greeting::Builder::setRegistryChanged( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerEntry::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerEntry::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerEntry::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerEntry::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerEntry::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t ServerEntry::Reader::getStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerEntry::Builder::getStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerEntry::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerEntry::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerEntry::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ServerEntry::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ServerEntry::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ServerEntry::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerEntry::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerEntry::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ServerEntry::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ServerEntry::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ServerEntry::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerEntry::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerEntry::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ServerEntry::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerEntry::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ServerEntry::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t ServerEntry::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerEntry::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerEntry::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServerEntry::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ServerEntry::Reader::getWarmupLeftMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerEntry::Builder::getWarmupLeftMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setWarmupLeftMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServerEntry::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServerEntry::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ServerEntry::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerEntry::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Field::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Field::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Field::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Field::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Field::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Field::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Field::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Field::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Field::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Field::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Field::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Field::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Field::Builder::setValue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Field::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Field::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Field::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool DelegatedRequest::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool DelegatedRequest::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader DelegatedRequest::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder DelegatedRequest::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DelegatedRequest::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder DelegatedRequest::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void DelegatedRequest::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> DelegatedRequest::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool DelegatedRequest::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool DelegatedRequest::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader DelegatedRequest::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder DelegatedRequest::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void DelegatedRequest::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder DelegatedRequest::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void DelegatedRequest::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> DelegatedRequest::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool DelegatedRequest::Reader::hasMethod() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool DelegatedRequest::Builder::hasMethod() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader DelegatedRequest::Reader::getMethod() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder DelegatedRequest::Builder::getMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void DelegatedRequest::Builder::setMethod( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder DelegatedRequest::Builder::initMethod(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void DelegatedRequest::Builder::adoptMethod(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> DelegatedRequest::Builder::disownMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool DelegatedRequest::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool DelegatedRequest::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader DelegatedRequest::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder DelegatedRequest::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void DelegatedRequest::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder DelegatedRequest::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void DelegatedRequest::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> DelegatedRequest::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool DelegatedRequest::Reader::hasFields() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool DelegatedRequest::Builder::hasFields() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Reader DelegatedRequest::Reader::getFields() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Builder DelegatedRequest::Builder::getFields() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void DelegatedRequest::Builder::setFields( ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Builder DelegatedRequest::Builder::initFields(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void DelegatedRequest::Builder::adoptFields(
+    ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>> DelegatedRequest::Builder::disownFields() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool DelegatedRequest::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool DelegatedRequest::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader DelegatedRequest::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder DelegatedRequest::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void DelegatedRequest::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder DelegatedRequest::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void DelegatedRequest::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> DelegatedRequest::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t DelegatedRequest::Reader::getElapsedUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t DelegatedRequest::Builder::getElapsedUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DelegatedRequest::Builder::setElapsedUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t DelegatedRequest::Reader::getLeftUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t DelegatedRequest::Builder::getLeftUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void DelegatedRequest::Builder::setLeftUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t DelegatedRequest::Reader::getLeastVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DelegatedRequest::Builder::getLeastVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void DelegatedRequest::Builder::setLeastVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t DelegatedAnswer::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Greeting::Builder::getConfigDigest() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint8_t DelegatedAnswer::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Greeting::Builder::setConfigDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void DelegatedAnswer::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Greeting::Reader::getConfigComplete() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t DelegatedAnswer::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool Greeting::Builder::getConfigComplete() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t DelegatedAnswer::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Greeting::Builder::setConfigComplete(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void DelegatedAnswer::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Greeting::Reader::getStampWallMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool DelegatedAnswer::Reader::getIsStale() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Greeting::Builder::getStampWallMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool DelegatedAnswer::Builder::getIsStale() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void Greeting::Builder::setStampWallMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void DelegatedAnswer::Builder::setIsStale(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Greeting::Reader::getStampCounter() const {
+inline  ::uint32_t DelegatedAnswer::Reader::getStatus() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Greeting::Builder::getStampCounter() {
+inline  ::uint32_t DelegatedAnswer::Builder::getStatus() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Greeting::Builder::setStampCounter( ::uint32_t value) {
+inline void DelegatedAnswer::Builder::setStatus( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Greeting::Reader::getRegistryChanged() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Greeting::Builder::getRegistryChanged() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Greeting::Builder::setRegistryChanged( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ServerEntry::Reader::hasName() const {
+inline bool DelegatedAnswer::Reader::hasFields() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServerEntry::Builder::hasName() {
+inline bool DelegatedAnswer::Builder::hasFields() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServerEntry::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Reader DelegatedAnswer::Reader::getFields() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServerEntry::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Builder DelegatedAnswer::Builder::getFields() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServerEntry::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void DelegatedAnswer::Builder::setFields( ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServerEntry::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>::Builder DelegatedAnswer::Builder::initFields(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ServerEntry::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void DelegatedAnswer::Builder::adoptFields(
+    ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>> DelegatedAnswer::Builder::disownFields() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::Field,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t ServerEntry::Reader::getStartedMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t ServerEntry::Builder::getStartedMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ServerEntry::Builder::setStartedMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ServerEntry::Reader::hasService() const {
+inline bool DelegatedAnswer::Reader::hasBody() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServerEntry::Builder::hasService() {
+inline bool DelegatedAnswer::Builder::hasBody() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServerEntry::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader DelegatedAnswer::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServerEntry::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder DelegatedAnswer::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ServerEntry::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void DelegatedAnswer::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServerEntry::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder DelegatedAnswer::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ServerEntry::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void DelegatedAnswer::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> DelegatedAnswer::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ServerEntry::Reader::hasAddress() const {
+inline bool DelegatedAnswer::Reader::hasSignatures() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServerEntry::Builder::hasAddress() {
+inline bool DelegatedAnswer::Builder::hasSignatures() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServerEntry::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader DelegatedAnswer::Reader::getSignatures() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServerEntry::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DelegatedAnswer::Builder::getSignatures() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ServerEntry::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void DelegatedAnswer::Builder::setSignatures( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServerEntry::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void DelegatedAnswer::Builder::setSignatures(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DelegatedAnswer::Builder::initSignatures(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ServerEntry::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void DelegatedAnswer::Builder::adoptSignatures(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> DelegatedAnswer::Builder::disownSignatures() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ServerEntry::Reader::hasFailureDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool ServerEntry::Builder::hasFailureDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ServerEntry::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ServerEntry::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void ServerEntry::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ServerEntry::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void ServerEntry::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t ServerEntry::Reader::getSlots() const {
+inline  ::uint32_t DelegatedAnswer::Reader::getMissing() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServerEntry::Builder::getSlots() {
+inline  ::uint32_t DelegatedAnswer::Builder::getMissing() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void ServerEntry::Builder::setSlots( ::uint32_t value) {
+inline void DelegatedAnswer::Builder::setMissing( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ServerEntry::Reader::getIsLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
-}
-
-inline bool ServerEntry::Builder::getIsLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
-}
-inline void ServerEntry::Builder::setIsLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t ServerEntry::Reader::getWarmupLeftMs() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint8_t DelegatedAnswer::Reader::getReason() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t ServerEntry::Builder::getWarmupLeftMs() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint8_t DelegatedAnswer::Builder::getReason() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ServerEntry::Builder::setWarmupLeftMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void DelegatedAnswer::Builder::setReason( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ServerEntry::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t DelegatedAnswer::Reader::getRetryAfterUs() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ServerEntry::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t DelegatedAnswer::Builder::getRetryAfterUs() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ServerEntry::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void DelegatedAnswer::Builder::setRetryAfterUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
@@ -2784,40 +3971,132 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::ServersResults::Reader::hasEntries() const {
+inline bool Peer::ServersResults::Reader::getIsWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::ServersResults::Builder::getIsWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ServersResults::Builder::setIsWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::ServersResults::Reader::hasItems() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ServersResults::Builder::hasEntries() {
+inline bool Peer::ServersResults::Builder::hasItems() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader Peer::ServersResults::Reader::getEntries() const {
+inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader Peer::ServersResults::Reader::getItems() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder Peer::ServersResults::Builder::getEntries() {
+inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder Peer::ServersResults::Builder::getItems() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ServersResults::Builder::setEntries( ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void Peer::ServersResults::Builder::setItems( ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder Peer::ServersResults::Builder::initEntries(unsigned int size) {
+inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder Peer::ServersResults::Builder::initItems(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::ServersResults::Builder::adoptEntries(
+inline void Peer::ServersResults::Builder::adoptItems(
     ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>> Peer::ServersResults::Builder::disownEntries() {
+inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>> Peer::ServersResults::Builder::disownItems() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::ForwardParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ForwardParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollengrade::wire::DelegatedRequest::Reader Peer::ForwardParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::pollengrade::wire::DelegatedRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pollengrade::wire::DelegatedRequest::Builder Peer::ForwardParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::pollengrade::wire::DelegatedRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollengrade::wire::DelegatedRequest::Pipeline Peer::ForwardParams::Pipeline::getRequest() {
+  return  ::pollengrade::wire::DelegatedRequest::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ForwardParams::Builder::setRequest( ::pollengrade::wire::DelegatedRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollengrade::wire::DelegatedRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pollengrade::wire::DelegatedRequest::Builder Peer::ForwardParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::pollengrade::wire::DelegatedRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ForwardParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::pollengrade::wire::DelegatedRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::pollengrade::wire::DelegatedRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollengrade::wire::DelegatedRequest> Peer::ForwardParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::pollengrade::wire::DelegatedRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::ForwardResults::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ForwardResults::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollengrade::wire::DelegatedAnswer::Reader Peer::ForwardResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::pollengrade::wire::DelegatedAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pollengrade::wire::DelegatedAnswer::Builder Peer::ForwardResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::pollengrade::wire::DelegatedAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollengrade::wire::DelegatedAnswer::Pipeline Peer::ForwardResults::Pipeline::getAnswer() {
+  return  ::pollengrade::wire::DelegatedAnswer::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ForwardResults::Builder::setAnswer( ::pollengrade::wire::DelegatedAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollengrade::wire::DelegatedAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pollengrade::wire::DelegatedAnswer::Builder Peer::ForwardResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::pollengrade::wire::DelegatedAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ForwardResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::pollengrade::wire::DelegatedAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::pollengrade::wire::DelegatedAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollengrade::wire::DelegatedAnswer> Peer::ForwardResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::pollengrade::wire::DelegatedAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/packages/peer/peer_client.cpp
+++ b/packages/peer/peer_client.cpp
@@ -15,6 +15,7 @@
 constexpr duration probe_limit = std::chrono::milliseconds{400};    ///< for a probe and its reply
 constexpr duration indirect_limit = std::chrono::milliseconds{900}; ///< for a probe through another node
 constexpr duration transfer_limit = std::chrono::seconds{2};        ///< for lists and configuration
+constexpr duration forward_margin = std::chrono::milliseconds{20};  ///< for the way back of a query's answer
 
 /** A connection and the RPC client on it; the client ends first. */
 struct connection {
@@ -138,17 +139,60 @@
 
 void peer_client::servers(const node_address& from, object_version later_than,
                           const registry_spread_hooks::pulled& done) {
-    call<registry_snapshot>(
+    call<registry_update>(
         from, transfer_limit,
         [later_than](wire::Peer::Client& peer) {
             auto request = peer.serversRequest();
             request.setLaterThan(later_than.value());
             return request.send().then([](capnp::Response<wire::Peer::ServersResults>&& reply) {
-                return std::optional{
-                    registry_snapshot{object_version{reply.getRevision()}, read_servers(reply.getEntries())}};
+                return std::optional{registry_update{object_version{reply.getRevision()}, reply.getIsWhole(),
+                                                     read_items(reply.getItems())}};
             });
         },
         done);
 }
 
+void peer_client::forward(delegation_call id, const node_address& to, const delegated_request& request,
+                          std::function<void()> seen,
+                          std::function<void(std::optional<delegated_answer>)> done) {
+    using result = std::optional<delegated_answer>;
+    auto reply = connect_to(to.value())
+                     .then([this, request, seen = std::move(seen)](kj::Own<kj::AsyncIoStream> stream) {
+                         auto link = kj::heap<connection>(kj::mv(stream));
+                         auto peer = link->client.bootstrap().castAs<wire::Peer>();
+                         auto call = peer.forwardRequest();
+                         write_request(request, call.initRequest());
+                         auto answer =
+                             call.send().then([](capnp::Response<wire::Peer::ForwardResults>&& response) {
+                                 return read_answer(response.getAnswer());
+                             });
+                         // The holder's process has read the call once it has told which object takes it.
+                         auto shown = peer.whenResolved()
+                                          .then([this, seen] {
+                                              clock_.sync();
+                                              seen();
+                                          })
+                                          .eagerlyEvaluate(nullptr);
+                         return answer.attach(kj::mv(shown), kj::mv(peer), kj::mv(link));
+                     });
+    auto withdrawn = kj::newPromiseAndFulfiller<void>();
+    withdrawals_.insert_or_assign(id, kj::mv(withdrawn.fulfiller));
+    auto late = kj::newAdaptedPromise<void, limit_timer>(clock_.timers(), request.left + forward_margin)
+                    .then([]() -> kj::Promise<result> { return result{}; });
+    auto ended = reply.exclusiveJoin(kj::mv(late))
+                     .catch_([](kj::Exception&&) -> result { return std::nullopt; })
+                     .then([this, id, done = std::move(done)](result it) {
+                         clock_.sync();
+                         if (withdrawals_.erase(id) > 0)
+                             done(std::move(it));
+                     });
+    tasks_.add(ended.exclusiveJoin(kj::mv(withdrawn.promise)));
+}
+
+void peer_client::cancel(delegation_call id) {
+    const auto node = withdrawals_.extract(id);
+    if (!node.empty())
+        node.mapped()->fulfill();
+}
+
 } // namespace pollengrade
--- a/packages/peer/peer_client.h
+++ b/packages/peer/peer_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "core/cluster/config_spread.h"
 #include "core/cluster/membership.h"
 #include "core/cluster/registry_spread.h"
+#include "core/queries/delegation.h"
 #include "peer/peer.capnp.h"
 #include "runtime/loop_clock.h"
 
@@ -35,6 +37,11 @@
               const spread_hooks::pulled& done);
     void servers(const node_address& from, object_version later_than,
                  const registry_spread_hooks::pulled& done);
+    /** Sends a query to a holder; see delegation_hooks::send. */
+    void forward(delegation_call id, const node_address& to, const delegated_request& request,
+                 std::function<void()> seen, std::function<void(std::optional<delegated_answer>)> done);
+    /** Withdraws a query. */
+    void cancel(delegation_call id);
 
 private:
     template <typename Result>
@@ -43,9 +50,10 @@
               std::function<void(std::optional<Result>)> done);
     void taskFailed(kj::Exception&& failure) override;
 
-    loop_clock& clock_; ///< the process's clock
-    event_log& log_;    ///< the time line
-    kj::TaskSet tasks_; ///< calls in flight
+    loop_clock& clock_;                                                          ///< the process's clock
+    event_log& log_;                                                             ///< the time line
+    std::map<delegation_call, kj::Own<kj::PromiseFulfiller<void>>> withdrawals_; ///< of queries at holders
+    kj::TaskSet tasks_;                                                          ///< calls in flight
 };
 
 } // namespace pollengrade
--- a/packages/peer/peer_codec.cpp
+++ b/packages/peer/peer_codec.cpp
@@ -29,6 +29,7 @@
     out.setStart(it.life.start);
     out.setRefutations(it.life.refutations);
     out.setState(static_cast<std::uint8_t>(it.state));
+    out.setCapacity(it.capacity);
 }
 
 std::optional<member> read_member(wire::Member::Reader in) {
@@ -39,6 +40,7 @@
     it.domain = failure_domain{to_string_copy(in.getFailureDomain())};
     it.life = {in.getStart(), in.getRefutations()};
     it.state = static_cast<member_state>(in.getState());
+    it.capacity = in.getCapacity();
     const bool is_valid = is_address(it.address.value()) && is_address(it.operators.value()) &&
                           it.name.size() <= max_name_bytes && it.domain.value().size() <= max_name_bytes &&
                           in.getState() <= static_cast<std::uint8_t>(member_state::dead);
@@ -111,20 +113,21 @@
     return list;
 }
 
-void write_server(const server_entry& it, wire::ServerEntry::Builder out) {
-    out.setName(it.name);
-    out.setStartedMs(it.started_ms);
-    out.setService(it.service.value());
-    out.setAddress(it.address.value());
-    out.setFailureDomain(it.domain.value());
-    out.setSlots(it.slots);
-    out.setIsLeaving(it.is_leaving);
-    out.setWarmupLeftMs(it.warmup_left_ms);
-    out.setVersion(it.version.value());
+void write_item(const registry_item& it, wire::ServerEntry::Builder out) {
+    out.setName(it.entry.name);
+    out.setStartedMs(it.entry.started_ms);
+    out.setService(it.entry.service.value());
+    out.setAddress(it.entry.address.value());
+    out.setFailureDomain(it.entry.domain.value());
+    out.setSlots(it.entry.slots);
+    out.setIsLeaving(it.entry.is_leaving);
+    out.setWarmupLeftMs(it.entry.warmup_left_ms);
+    out.setVersion(it.entry.version.value());
+    out.setState(static_cast<std::uint8_t>(it.state));
 }
 
-std::vector<server_entry> read_servers(capnp::List<wire::ServerEntry>::Reader in) {
-    std::vector<server_entry> list;
+std::vector<registry_item> read_items(capnp::List<wire::ServerEntry>::Reader in) {
+    std::vector<registry_item> list;
     for (unsigned n = 0; n < std::min(in.size(), max_wire_servers); ++n) {
         const auto reader = in[n];
         server_entry it;
@@ -137,8 +140,10 @@
         it.is_leaving = reader.getIsLeaving();
         it.warmup_left_ms = reader.getWarmupLeftMs();
         it.version = object_version{reader.getVersion()};
-        if (is_address(it.address.value()) && it.slots > 0)
-            list.push_back(std::move(it));
+        const bool is_valid = is_address(it.address.value()) && it.slots > 0 &&
+                              reader.getState() <= static_cast<std::uint8_t>(entry_state::removed);
+        if (is_valid)
+            list.push_back({std::move(it), static_cast<entry_state>(reader.getState())});
     }
     return list;
 }
--- a/packages/peer/peer_codec.h
+++ b/packages/peer/peer_codec.h
@@ -7,7 +7,8 @@
 #include "core/base/event_log.h"
 #include "core/cluster/config_spread.h"
 #include "core/cluster/member_type.h"
-#include "core/config/server_entry.h"
+#include "core/queries/delegation.h"
+#include "core/upstreams/registry.h"
 #include "peer/peer.capnp.h"
 
 namespace pollengrade {
@@ -32,8 +33,15 @@
 /** @return the members; those that are not what they must be are left out. */
 [[nodiscard]] std::vector<member> read_members(capnp::List<wire::Member>::Reader in);
 
-void write_server(const server_entry& it, wire::ServerEntry::Builder out);
-/** @return the entries; those that are not what they must be are left out. */
-[[nodiscard]] std::vector<server_entry> read_servers(capnp::List<wire::ServerEntry>::Reader in);
+void write_item(const registry_item& it, wire::ServerEntry::Builder out);
+/** @return the items; those that are not what they must be are left out. */
+[[nodiscard]] std::vector<registry_item> read_items(capnp::List<wire::ServerEntry>::Reader in);
+
+void write_request(const delegated_request& it, wire::DelegatedRequest::Builder out);
+/** @return the request; nullopt when a field is not what it must be. */
+[[nodiscard]] std::optional<delegated_request> read_request(wire::DelegatedRequest::Reader in);
+void write_answer(const delegated_answer& it, wire::DelegatedAnswer::Builder out);
+/** @return the answer; nullopt when a field is not what it must be. */
+[[nodiscard]] std::optional<delegated_answer> read_answer(wire::DelegatedAnswer::Reader in);
 
 } // namespace pollengrade
--- a/packages/peer/peer_server.cpp
+++ b/packages/peer/peer_server.cpp
@@ -73,15 +73,35 @@
 
     kj::Promise<void> servers(ServersContext context) override {
         clock_.sync();
-        const registry_snapshot snapshot =
+        const registry_update update =
             hooks_.servers_after(object_version{context.getParams().getLaterThan()});
-        context.getResults().setRevision(snapshot.revision.value());
-        auto out = context.getResults().initEntries(static_cast<unsigned>(snapshot.entries.size()));
+        context.getResults().setRevision(update.revision.value());
+        context.getResults().setIsWhole(update.is_whole);
+        auto out = context.getResults().initItems(static_cast<unsigned>(update.items.size()));
         for (unsigned n = 0; n < out.size(); ++n)
-            write_server(snapshot.entries[n], out[n]);
+            write_item(update.items[n], out[n]);
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> forward(ForwardContext context) override {
+        clock_.sync();
+        const auto request = read_request(context.getParams().getRequest());
+        if (!request)
+            return KJ_EXCEPTION(FAILED, "request is malformed");
+        // A peer that does not wait any more drops its connection: that withdraws the query.
+        context.allowCancellation();
+        auto [promise, fulfiller] = kj::newPromiseAndFulfiller<delegated_answer>();
+        const auto shared =
+            std::make_shared<kj::Own<kj::PromiseFulfiller<delegated_answer>>>(kj::mv(fulfiller));
+        const run_id id = hooks_.run_query(
+            *request, [shared](delegated_answer answer) { (*shared)->fulfill(kj::mv(answer)); });
+        return promise
+            .then([context](delegated_answer&& answer) mutable {
+                write_answer(answer, context.getResults().initAnswer());
+            })
+            .attach(kj::defer([this, id] { hooks_.withdraw_query(id); }));
+    }
+
 private:
     loop_clock& clock_; ///< the process's clock
     event_log& log_;    ///< the time line
--- a/packages/peer/peer_server.h
+++ b/packages/peer/peer_server.h
@@ -12,6 +12,7 @@
 #include "core/cluster/config_spread.h"
 #include "core/cluster/membership.h"
 #include "core/cluster/registry_spread.h"
+#include "core/queries/delegation.h"
 #include "net/http_listener.h"
 #include "net/unique_fd.h"
 #include "peer/socket_stream.h"
@@ -26,7 +27,10 @@
     std::function<std::vector<member>()> members;                                         ///< the whole list
     std::function<void(const std::vector<config_entry>&)> on_push;                        ///< takes objects
     std::function<pull_reply(const std::vector<config_version>&)> on_pull;                ///< gives objects
-    std::function<registry_snapshot(object_version)> servers_after; ///< the registry, if later; else none
+    std::function<registry_update(object_version)> servers_after; ///< what a peer lacks of the registry
+    /** Runs a query for a peer. @return an ID that withdraw_query takes */
+    std::function<run_id(const delegated_request&, std::function<void(delegated_answer)>)> run_query;
+    std::function<void(run_id)> withdraw_query; ///< the peer does not wait any more
 };
 
 /** Serves other nodes over Cap'n Proto RPC. */
