--- /dev/null
+++ b/packages/peer/query_codec.cpp
@@ -0,0 +1,164 @@
+/** @file query_codec.cpp Delegated queries and their answers between wire.capnp and the core's types. */
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "peer/peer_codec.h"
+
+namespace pollengrade {
+
+namespace {
+
+std::string text_of(capnp::Text::Reader it) {
+    return std::string{it.cStr(), it.size()};
+}
+
+std::string text_of(capnp::Data::Reader bytes) {
+    return std::string{bytes.begin(), bytes.end()};
+}
+
+kj::ArrayPtr<const kj::byte> bytes_of(const std::string& text) {
+    const auto* bytes =
+        reinterpret_cast<const kj::byte*>(text.data()); // NOLINT(*-reinterpret-cast): KJ's bytes
+    return kj::arrayPtr(bytes, text.size());
+}
+
+void write_fields(const message_fields& fields, capnp::List<wire::Field>::Builder out) {
+    for (unsigned n = 0; n < out.size(); ++n) {
+        out[n].setName(fields[n].name);
+        out[n].setValue(fields[n].value);
+    }
+}
+
+message_fields read_fields(capnp::List<wire::Field>::Reader in) {
+    message_fields fields;
+    for (const auto it : in)
+        fields.push_back({text_of(it.getName()), text_of(it.getValue())});
+    return fields;
+}
+
+/** Writes what is particular to each kind of answer. */
+struct answer_writer {
+    wire::DelegatedAnswer::Builder out;
+
+    void operator()(const passed_answer& it) {
+        out.setStatus(it.message.status);
+        write_fields(it.message.fields, out.initFields(static_cast<unsigned>(it.message.fields.size())));
+        out.setBody(bytes_of(it.message.body));
+    }
+    void operator()(const gathered_answer& it) {
+        auto signatures = out.initSignatures(static_cast<unsigned>(it.signatures.size()));
+        for (unsigned n = 0; n < signatures.size(); ++n)
+            signatures.set(n, it.signatures[n]);
+        out.setMissing(static_cast<std::uint32_t>(it.missing));
+        out.setBody(bytes_of(it.records));
+    }
+    void operator()(const refused_answer& it) {
+        out.setReason(static_cast<std::uint8_t>(it.reason));
+        out.setRetryAfterUs(it.retry_after.count());
+    }
+    void operator()(const failed_answer& it) { out.setReason(static_cast<std::uint8_t>(it.reason)); }
+    void operator()(const unroutable_answer&) {}
+};
+
+passed_answer read_passed(wire::DelegatedAnswer::Reader in) {
+    passed_answer it;
+    it.message.status = in.getStatus();
+    it.message.fields = read_fields(in.getFields());
+    it.message.body = text_of(in.getBody());
+    return it;
+}
+
+gathered_answer read_gathered(wire::DelegatedAnswer::Reader in) {
+    gathered_answer it;
+    for (const auto signature : in.getSignatures())
+        it.signatures.push_back(text_of(signature));
+    it.missing = in.getMissing();
+    it.records = text_of(in.getBody());
+    return it;
+}
+
+/** The kinds of answers as they are numbered on the wire. */
+enum class answer_kind : std::uint8_t { passed, gathered, refused, failed, unroutable };
+
+std::optional<forward_answer> read_forward_answer(wire::DelegatedAnswer::Reader in) {
+    constexpr std::int64_t longest_retry_after_us = 60'000'000;
+    switch (static_cast<answer_kind>(in.getKind())) {
+    case answer_kind::passed:
+        return read_passed(in);
+    case answer_kind::gathered:
+        return read_gathered(in);
+    case answer_kind::refused:
+        if (in.getReason() > static_cast<std::uint8_t>(forward_refusal::refused_by_all))
+            return std::nullopt;
+        return refused_answer{
+            static_cast<forward_refusal>(in.getReason()),
+            duration{std::clamp<std::int64_t>(in.getRetryAfterUs(), 0, longest_retry_after_us)}};
+    case answer_kind::failed:
+        if (in.getReason() > static_cast<std::uint8_t>(forward_failure::too_few_parts))
+            return std::nullopt;
+        return failed_answer{static_cast<forward_failure>(in.getReason())};
+    case answer_kind::unroutable:
+        return unroutable_answer{};
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void write_request(const delegated_request& it, wire::DelegatedRequest::Builder out) {
+    const forwarded_request& request = *it.request;
+    const message_fields& fields = request.message.fields;
+    out.setId(request.id.value());
+    out.setHost(request.host);
+    out.setMethod(request.message.method);
+    out.setTarget(request.message.target);
+    write_fields(fields, out.initFields(static_cast<unsigned>(fields.size())));
+    if (request.body)
+        out.setBody(bytes_of(*request.body));
+    out.setElapsedUs(it.elapsed.count());
+    out.setLeftUs(it.left.count());
+    out.setLeastVersion(it.least_version.value());
+}
+
+std::optional<delegated_request> read_request(wire::DelegatedRequest::Reader in) {
+    constexpr std::int64_t longest_us = 86'400'000'000; // A day.
+    const bool is_valid = in.getElapsedUs() >= 0 && in.getElapsedUs() <= longest_us && in.getLeftUs() > 0 &&
+                          in.getLeftUs() <= longest_us && in.getTarget().startsWith("/");
+    if (!is_valid)
+        return std::nullopt;
+    auto request = std::make_shared<forwarded_request>();
+    request->id = request_id{text_of(in.getId())};
+    request->host = text_of(in.getHost());
+    request->message.method = text_of(in.getMethod());
+    request->message.target = text_of(in.getTarget());
+    request->path = request->message.target.substr(0, request->message.target.find('?'));
+    request->message.fields = read_fields(in.getFields());
+    if (in.getBody().size() > 0)
+        request->body = std::make_shared<const std::string>(text_of(in.getBody()));
+    delegated_request it;
+    it.request = std::move(request);
+    it.elapsed = duration{in.getElapsedUs()};
+    it.left = duration{in.getLeftUs()};
+    it.least_version = object_version{in.getLeastVersion()};
+    return it;
+}
+
+void write_answer(const delegated_answer& it, wire::DelegatedAnswer::Builder out) {
+    out.setKind(static_cast<std::uint8_t>(it.answer.index()));
+    out.setVersion(it.version.value());
+    out.setIsStale(it.is_stale);
+    std::visit(answer_writer{out}, it.answer);
+}
+
+std::optional<delegated_answer> read_answer(wire::DelegatedAnswer::Reader in) {
+    auto answer = read_forward_answer(in);
+    if (!answer)
+        return std::nullopt;
+    return delegated_answer{std::move(*answer), object_version{in.getVersion()}, in.getIsStale()};
+}
+
+} // namespace pollengrade
--- a/tests/core/cluster/feed_test.cpp
+++ b/tests/core/cluster/feed_test.cpp
@@ -2,6 +2,7 @@
  * order. */
 #include <doctest/doctest.h>
 
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -34,6 +35,14 @@
     return {it.name, it.version, it};
 }
 
+/** All entries, as a peer tells them. */
+registry_update whole(std::uint64_t revision, const std::vector<server_entry>& entries) {
+    registry_update it{object_version{revision}, true, {}};
+    for (const server_entry& entry : entries)
+        it.items.push_back({entry, entry_state::present});
+    return it;
+}
+
 /** A feed whose calls a test answers. */
 struct feed_fixture {
     explicit feed_fixture(duration rest = milliseconds{500})
@@ -166,10 +175,10 @@
     registry_fixture it;
     it.list(10, {entry_of("a", 3), entry_of("b", 4)});
     it.change(12, entry_of("a", 3), true);
-    CHECK_FALSE(it.servers.take({object_version{11}, {entry_of("a", 3), entry_of("b", 4)}}));
+    CHECK_FALSE(it.servers.take(whole(11, {entry_of("a", 3), entry_of("b", 4)})));
     it.list(9, {entry_of("a", 3)});
     CHECK(it.servers.entries().size() == 1);
-    CHECK(it.servers.take({object_version{13}, {entry_of("b", 4), entry_of("c", 13)}}));
+    CHECK(it.servers.take(whole(13, {entry_of("b", 4), entry_of("c", 13)})));
     CHECK(it.servers.entries().contains("c"));
     CHECK(it.gone == std::vector<std::string>{"a@1"});
 }
@@ -200,6 +209,61 @@
     CHECK(it.gone == std::vector<std::string>{"b@1", "c@1"});
 }
 
+TEST_CASE("nodes that tell each other what has changed end with the same servers, whatever the store does") {
+    // One node is fed by the store, two others only by each other and by it, at any times.
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        const auto random = seeded_random(seed);
+        registry_fixture fed;
+        registry_fixture near;
+        registry_fixture far;
+        std::map<std::string, server_entry> store;
+        std::uint64_t revision = 1;
+        fed.list(revision, {});
+        const auto tell = [](registry_fixture& from, registry_fixture& to) {
+            to.servers.take(from.servers.update_after(to.servers.revision()));
+        };
+        for (int step = 0; step < 300; ++step) {
+            const std::string name(1, static_cast<char>('a' + random() % 8));
+            ++revision;
+            switch (random() % 8) {
+            case 0:
+                if (store.erase(name) > 0)
+                    fed.change(revision, entry_of(name, revision), true);
+                break;
+            case 1:
+                fed.servers.on_store_regained();
+                break;
+            case 2:
+                fed.pass(static_cast<std::int64_t>(random() % 3000));
+                break;
+            case 3:
+                tell(fed, near);
+                break;
+            case 4:
+                tell(near, far);
+                break;
+            case 5:
+                tell(far, near);
+                break;
+            default:
+                store[name] = entry_of(name, revision, static_cast<std::int64_t>(1 + random() % 3));
+                fed.change(revision, store[name], false);
+                break;
+            }
+        }
+        ++revision;
+        store["last"] = entry_of("last", revision);
+        fed.change(revision, store["last"], false);
+        tell(fed, near);
+        tell(near, far);
+        for (registry_fixture* it : {&fed, &near, &far}) {
+            it->pass(3000);
+            CHECK(it->servers.entries() == store);
+        }
+    }
+}
+
 TEST_CASE("an entry that cannot be read names no server and disturbs no other") {
     registry_fixture it;
     object_list list{object_version{10}, {}};
@@ -221,7 +285,7 @@
     hooks.draw = [] { return std::optional{node_address{"127.0.0.1:1"}}; };
     hooks.pull = [&](const node_address&, object_version, const registry_spread_hooks::pulled& done) {
         ++asked;
-        done(registry_snapshot{object_version{20}, {entry_of("p", 20)}});
+        done(whole(20, {entry_of("p", 20)}));
     };
     hooks.taken = [] {};
     registry_spread spread{it.timers, it.counts, it.servers, hooks};
--- a/tests/core/queries/forward_test.cpp
+++ b/tests/core/queries/forward_test.cpp
@@ -20,6 +20,12 @@
 
 constexpr load_budget_limits plenty{1, 100, std::chrono::seconds{10}};
 
+/** A node that runs everything itself. */
+forwarder_hooks alone() {
+    return {[](const route&) { return std::vector<node_address>{}; },
+            [](const service_name&) { return plenty; }, [] {}};
+}
+
 route one_route(bool is_idempotent) {
     route it;
     it.name = is_idempotent ? "lookup" : "order";
@@ -100,7 +106,11 @@
 
     timer_queue timers = paused_clock();
     fake_network network{timers};
-    forwarder forwards{{timers, network.servers(), network.log(), network.counts()}, plenty};
+    forwarder forwards{{timers, network.servers(), network.log(), network.counts()},
+                       seeded_random(1),
+                       failure_domain{"here"},
+                       alone(),
+                       {}};
     std::vector<forward_answer> answers;
     int submitted = 0;
 };
@@ -112,7 +122,11 @@
     fake_network network{timers};
     const upstream_id only = network.add("only");
     network.servers().set_members(replica_set_name{"s0"}, {only}, 4);
-    forwarder forwards{{timers, network.servers(), network.log(), network.counts()}, plenty};
+    forwarder forwards{{timers, network.servers(), network.log(), network.counts()},
+                       seeded_random(1),
+                       failure_domain{"here"},
+                       alone(),
+                       {}};
     forwards.apply(table_of(1, {one_route(true)}, 1));
     std::vector<forward_answer> answers;
     auto request = std::make_shared<forwarded_request>();
--- a/tests/core/upstreams/server_pool_test.cpp
+++ b/tests/core/upstreams/server_pool_test.cpp
@@ -43,9 +43,8 @@
 TEST_CASE("right after its start a node takes less: its VM's earlier connections may still be counted") {
     timer_queue timers = paused_clock();
     fake_network network{timers};
-    server_pool pool{timers, network.servers()};
+    server_pool pool{timers, network.servers(), [](const service_name&) { return connection_plan{8, true}; }};
     pool.on_routes(*table_with(40));
-    pool.on_nodes(8);
     pool.on_entry(entry_of("a"), false);
     const upstream_id id = id_of(entry_of("a"));
     CHECK(network.servers().find(id)->limits().max_connections == 1);
--- a/tests/runtime/log_test.cpp
+++ b/tests/runtime/log_test.cpp
@@ -29,6 +29,10 @@
 /** A pipe whose reading end a test reads, or does not. */
 struct pipe_pair {
     pipe_pair() { REQUIRE(::pipe2(ends.data(), O_NONBLOCK) == 0); }
+    pipe_pair(const pipe_pair&) = delete;
+    pipe_pair& operator=(const pipe_pair&) = delete;
+    pipe_pair(pipe_pair&&) = delete;
+    pipe_pair& operator=(pipe_pair&&) = delete;
     ~pipe_pair() {
         ::close(ends[0]);
         ::close(ends[1]);
