Change: a query goes out only to a holder that has shown that it runs; ways to holders counted; cheap first lists; fewer announcements

Answers cut at the target came 1-4 ms late: the way back was not counted. Nodes greeted in epidemics at start. Ruled out: less budget for the second holder (the first may still hedge). Change: the call is opened first, the query follows when the holder has shown itself, the first to show gets it. One holder a query; the ways there and back are measured and counted as spent time. Only duty nodes announce, first lists read cheaply, hedges after 0.9 of the usual time (pauses pull 0.95 to 30 ms on short routes).

--- a/packages/core/cluster/holders.cpp
+++ b/packages/core/cluster/holders.cpp
@@ -122,6 +122,13 @@
     return it == group_of_.end() ? nodes_ : static_cast<std::uint32_t>(groups_.at(it->second).holders.size());
 }
 
+std::size_t holder_table::all_holders() const {
+    std::set<node_address> all;
+    for (const auto& [key, it] : groups_)
+        all.insert(it.holders.begin(), it.holders.end());
+    return all.size();
+}
+
 bool holder_table::is_holder() const {
     return groups_.empty() ||
            std::any_of(groups_.begin(), groups_.end(), [](const auto& it) { return it.second.has_self; });
--- a/packages/core/cluster/object_feed.cpp
+++ b/packages/core/cluster/object_feed.cpp
@@ -41,7 +41,8 @@
 void object_feed::list() {
     busy_ = true;
     const duration limit = first_list_limit * (1U << std::min(failures_, max_doublings));
-    hooks_.list(limit, [this](const tl::expected<object_list, store_error>& result) {
+    // The first list may be behind: the watch from its revision brings at once what it lacks.
+    hooks_.list(limit, !listed_, [this](const tl::expected<object_list, store_error>& result) {
         hooks_.reached(result.has_value());
         if (!result) {
             retry();
--- a/packages/core/cluster/object_feed.h
+++ b/packages/core/cluster/object_feed.h
@@ -18,7 +18,8 @@
     using listed = std::function<void(tl::expected<object_list, store_error>)>;
     using watched = std::function<void(tl::expected<object_changes, store_error>)>;
 
-    std::function<void(duration limit, listed)> list;   ///< reads all objects, each call within a limit
+    /** Reads all objects, each call within a limit; a cheap read may be some seconds behind. */
+    std::function<void(duration limit, bool cheap, listed)> list;
     std::function<void(object_version, watched)> watch; ///< waits for changes after a revision
     std::function<void(const object_list&)> replaced;   ///< takes all objects
     std::function<void(const object_changes&)> changed; ///< takes changes
--- a/packages/core/queries/delegation.cpp
+++ b/packages/core/queries/delegation.cpp
@@ -2,6 +2,7 @@
 #include "core/queries/delegation.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 #include "core/upstreams/placement_func.h"
@@ -12,6 +13,7 @@
 
 /** Several round trips and a busy VM's turn: a process that runs has read from a new connection by then. */
 constexpr duration seen_limit = std::chrono::milliseconds{25};
+constexpr duration unknown_overhead = std::chrono::milliseconds{5}; ///< of the ways, before any is known
 constexpr duration silence_rest = std::chrono::seconds{1}; ///< a silent holder is not asked for as long
 constexpr std::uint32_t holder_slots = 16;   ///< queries of one node that a holder runs at a time
 constexpr std::size_t max_holders_asked = 3; ///< of one query
@@ -52,6 +54,11 @@
     return picked ? std::optional{*nodes[*picked]} : std::nullopt;
 }
 
+duration delegation::usual_overhead() const {
+    constexpr double most = 0.9;
+    return overhead_.is_settled() ? overhead_.quantile(most) : unknown_overhead;
+}
+
 bool delegation::ask_next(run_id id) {
     query& it = queries_.at(id);
     if (it.asked.size() >= max_holders_asked)
@@ -63,21 +70,41 @@
     it.asked.push_back(*holder);
     it.calls[call] = *holder;
     ++holders_[*holder].in_flight;
+    it.unseen = timers_.schedule_after(seen_limit, [this, id, call] { on_unseen(id, call); });
+    const duration limit = it.request.left - (timers_.now() - it.started);
+    hooks_.open(
+        call, *holder, limit, [this, id, call] { return on_shown(id, call); },
+        [this, id, call](const std::optional<delegated_answer>& answer) { on_done(id, call, answer); });
+    return true;
+}
+
+delegated_request delegation::on_shown(run_id id, delegation_call call) {
+    query& it = queries_.at(id);
+    assert(!it.sent);
+    it.sent = call;
+    it.sent_at = timers_.now();
+    if (it.unseen)
+        timers_.cancel(*std::exchange(it.unseen, std::nullopt));
+    close_calls(it, call);
     ++counts_.counter("queries_delegated");
     delegated_request request = it.request;
-    const duration spent = timers_.now() - it.started;
+    // The holder counts the ways there and back as time spent, so that its answer is here by the target.
+    const duration spent = it.sent_at - it.started + usual_overhead();
     request.elapsed += spent;
     request.left -= spent;
-    it.unseen = timers_.schedule_after(seen_limit, [this, id, call] { on_unseen(id, call); });
-    hooks_.send(
-        call, *holder, request,
-        [this, id] {
-            const auto found = queries_.find(id);
-            if (found != queries_.end() && found->second.unseen)
-                timers_.cancel(*std::exchange(found->second.unseen, std::nullopt));
-        },
-        [this, id, call](const std::optional<delegated_answer>& answer) { on_done(id, call, answer); });
-    return true;
+    return request;
+}
+
+void delegation::close_calls(query& it, std::optional<delegation_call> kept) {
+    for (auto open = it.calls.begin(); open != it.calls.end();) {
+        if (open->first == kept) {
+            ++open;
+            continue;
+        }
+        end_call(open->second);
+        hooks_.cancel(open->first);
+        open = it.calls.erase(open);
+    }
 }
 
 void delegation::end_call(const node_address& holder) {
@@ -92,8 +119,9 @@
     ++counts_.counter("holders_silent");
     log_.record(event_kind::request_forwarded, it.request.request->id, holder.value(),
                 {{event_key::outcome, "not_seen"}, {event_key::waited_ms, timers_.now() - it.started}});
-    // The call stays open: its answer is as good as another's.
-    ask_next(id);
+    // The call stays open: the first holder that shows itself gets the query.
+    if (!ask_next(id))
+        finish(id, std::nullopt);
 }
 
 void delegation::on_done(run_id id, delegation_call call, const std::optional<delegated_answer>& answer) {
@@ -105,30 +133,39 @@
     it.calls.erase(call);
     end_call(holder);
     const time_point now = timers_.now();
+    const duration took = now - it.started;
+    const bool was_sent = it.sent == call;
+    const char* outcome = "no_answer";
+    if (answer)
+        outcome = answer->is_stale ? "stale" : "answered";
+    event_fields fields{{event_key::outcome, outcome}, {event_key::took_ms, took}};
+    if (answer)
+        fields.emplace_back(event_key::version, answer->version.value());
+    log_.record(event_kind::request_forwarded, it.request.request->id, holder.value(), std::move(fields));
     upstream_standing& standing = holders_[holder].standing;
     if (answer && !answer->is_stale) {
-        standing.on_reply(now, it.started, now - it.started, duration{0});
-        log_.record(event_kind::request_forwarded, it.request.request->id, holder.value(),
-                    {{event_key::outcome, "answered"},
-                     {event_key::version, answer->version.value()},
-                     {event_key::took_ms, now - it.started}});
+        overhead_.add(now - it.sent_at - answer->took);
+        standing.on_reply(now, it.started, took, duration{0});
         finish(id, answer);
         return;
     }
+    ++counts_.counter("delegations_failed", outcome);
     if (!answer)
         standing.on_failure(now);
-    ++counts_.counter("delegations_failed", answer ? "stale" : "no_answer");
-    log_.record(
-        event_kind::request_forwarded, it.request.request->id, holder.value(),
-        {{event_key::outcome, answer ? "stale" : "no_answer"}, {event_key::took_ms, now - it.started}});
-    if (it.unseen)
-        timers_.cancel(*std::exchange(it.unseen, std::nullopt));
-    if (now - it.started >= it.request.left) {
-        // A holder may have run it, and nobody could run it in time any more.
-        finish(id, delegated_answer{failed_answer{forward_failure::timed_out}, object_version{}, false});
+    if (was_sent && !answer) {
+        // The holder may have run it: another would ask more servers than the route allows.
+        const bool is_late = took >= it.request.left;
+        const auto reason = is_late ? forward_failure::timed_out : forward_failure::connection_lost;
+        finish(id, delegated_answer{failed_answer{reason}, object_version{}, {}, false});
         return;
     }
-    if (!ask_next(id) && it.calls.empty())
+    if (was_sent)
+        it.sent.reset();
+    else if (it.sent)
+        return;
+    if (it.calls.empty() && it.unseen)
+        timers_.cancel(*std::exchange(it.unseen, std::nullopt));
+    if (it.calls.empty() && !ask_next(id))
         finish(id, std::nullopt);
 }
 
@@ -137,10 +174,7 @@
     query& it = node.mapped();
     if (it.unseen)
         timers_.cancel(*it.unseen);
-    for (const auto& [call, holder] : it.calls) {
-        end_call(holder);
-        hooks_.cancel(call);
-    }
+    close_calls(it, std::nullopt);
     if (!answer)
         ++counts_.counter("queries_not_delegated");
     it.done(std::move(answer));
@@ -152,10 +186,7 @@
         return;
     if (node.mapped().unseen)
         timers_.cancel(*node.mapped().unseen);
-    for (const auto& [call, holder] : node.mapped().calls) {
-        end_call(holder);
-        hooks_.cancel(call);
-    }
+    close_calls(node.mapped(), std::nullopt);
 }
 
 } // namespace pollengrade
--- a/packages/core/queries/delegation.h
+++ b/packages/core/queries/delegation.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/base/event_log.h"
+#include "core/base/latency_profile.h"
 #include "core/base/metrics.h"
 #include "core/base/timer_queue.h"
 #include "core/queries/forward_type.h"
@@ -32,6 +33,7 @@
 struct delegated_answer {
     forward_answer answer;  ///< for the caller
     object_version version; ///< of the routes that it follows
+    duration took{};        ///< from the holder's reading of the query to its answer
     bool is_stale = false;  ///< the holder's routes are older than asked for; it has not run the query
 };
 
@@ -41,13 +43,16 @@
 /** What delegation needs of the network. */
 struct delegation_hooks {
     /**
-     * Sends a query to a holder.
-     * @param seen called once when the holder's process has read from the connection
+     * Opens a call to a holder, without the query.
+     * @param limit of the whole call
+     * @param shown called at most once, when the holder's process has shown that it runs; gives what it is
+     * sent
      * @param done called once with its answer, or nullopt when there is none and none will come
      */
-    std::function<void(delegation_call, const node_address&, const delegated_request&,
-                       std::function<void()> seen, std::function<void(std::optional<delegated_answer>)> done)>
-        send;
+    std::function<void(delegation_call, const node_address&, duration limit,
+                       std::function<delegated_request()> shown,
+                       std::function<void(std::optional<delegated_answer>)> done)>
+        open;
     /** Withdraws a call; its hooks are not called any more. */
     std::function<void(delegation_call)> cancel;
     /** @return the failure domain of a node; empty when it is not known. */
@@ -55,8 +60,10 @@
 };
 
 /**
- * Delegates idempotent queries. A holder shows within milliseconds that its process runs; one that does not
- * is left alone for a while and another is asked. What no holder takes, this node runs itself.
+ * Delegates idempotent queries. A holder shows within milliseconds that its process runs and is sent the
+ * query then; one that does not is left alone for a while and another is asked. What no holder takes, this
+ * node runs itself. A query is sent to one holder only: two would together ask more servers than its route
+ * allows.
  */
 class delegation {
 public:
@@ -93,7 +100,9 @@
         std::vector<node_address> holders;             ///< that may take it
         std::vector<node_address> asked;               ///< that have been sent it
         std::map<delegation_call, node_address> calls; ///< that are open
-        std::optional<timer_id> unseen;                ///< the last call is not seen by then
+        std::optional<timer_id> unseen;                ///< the last holder has not shown itself by then
+        std::optional<delegation_call> sent;           ///< the call with which the query went out
+        time_point sent_at;                            ///< when it did
         answered done;
     };
     /** What is known of one holder. */
@@ -103,9 +112,12 @@
         time_point silent_until{};   ///< it did not show that it runs
     };
 
+    [[nodiscard]] duration usual_overhead() const;
     bool ask_next(run_id id);
     [[nodiscard]] std::optional<node_address> choose(const query& it);
     void on_unseen(run_id id, delegation_call call);
+    delegated_request on_shown(run_id id, delegation_call call);
+    void close_calls(query& it, std::optional<delegation_call> kept);
     void on_done(run_id id, delegation_call call, const std::optional<delegated_answer>& answer);
     void end_call(const node_address& holder);
     void finish(run_id id, std::optional<delegated_answer> answer);
@@ -118,6 +130,7 @@
     delegation_hooks hooks_;                       ///< the network
     std::unordered_map<run_id, query> queries_;    ///< open
     std::map<node_address, holder_state> holders_; ///< that were ever asked
+    latency_profile overhead_;                     ///< of the ways to holders and back
     std::uint64_t next_call_ = 1;                  ///< the next call's ID
 };
 
--- a/packages/core/queries/forwarder.cpp
+++ b/packages/core/queries/forwarder.cpp
@@ -113,20 +113,20 @@
     ++context_.counts.counter("queries_taken_over");
     if (!table_ || table_->version() < request.least_version) {
         respond({refused_answer{forward_refusal::not_configured, duration{0}},
-                 table_ ? table_->version() : object_version{}, true});
+                 table_ ? table_->version() : object_version{}, duration{0}, true});
         return id;
     }
     const object_version version = table_->version();
     const route* via = table_->find(request.request->host, request.request->path);
     if (via == nullptr) {
-        respond({unroutable_answer{}, version, false});
+        respond({unroutable_answer{}, version, duration{0}, false});
         return id;
     }
     const time_point now = context_.timers.now();
     forward_order order = make_order(request.request, *via, now - request.elapsed);
     order.deadline = std::min(order.arrived + via->timeout, now + request.left);
-    run_here(id, std::move(order), [version, respond = std::move(respond)](forward_answer answer) {
-        respond({std::move(answer), version, false});
+    run_here(id, std::move(order), [this, now, version, respond = std::move(respond)](forward_answer answer) {
+        respond({std::move(answer), version, context_.timers.now() - now, false});
     });
     return id;
 }
--- a/packages/core/queries/gather.cpp
+++ b/packages/core/queries/gather.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr double usual_quantile = 0.95;                           ///< of replies, for the time of a hedge
+constexpr double usual_quantile = 0.9; ///< of replies, for the time of a hedge; servers that pause lie above
 constexpr duration unsent_recheck = std::chrono::milliseconds{5}; ///< a hedge waits for its first to be sent
 
 missing_reason reason_of(std::optional<attempt_error> last_error) {
--- a/packages/ctl/store_call.cpp
+++ b/packages/ctl/store_call.cpp
@@ -49,7 +49,7 @@
 
 tl::expected<object_list, store_error> read_objects(const std::string& platform, object_kind kind) {
     return run_call<object_list>(platform, [&](platform_client& client, auto done) {
-        client.list(kind, list_limit, std::move(done));
+        client.list(kind, list_limit, false, std::move(done));
     });
 }
 
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -13,9 +13,8 @@
 constexpr std::size_t relays_per_domain = 2;    ///< nodes that watch the platform in a failure domain
 constexpr std::size_t document_push_fanout = 4; ///< nodes that a document is pushed on to: not all watch
 constexpr std::size_t divided_push_fanout = 2; ///< nodes that routes are pushed on to; a difference is pulled
-constexpr std::size_t announce_fanout =
-    2; ///< nodes greeted when the registry has changed, each greets as many
-constexpr duration announce_delay = std::chrono::milliseconds{100}; ///< changes of servers come in bursts
+constexpr std::size_t least_announced = 2;     ///< nodes greeted at least when the registry has changed
+constexpr duration announce_delay = std::chrono::milliseconds{300}; ///< changes of servers come in bursts
 constexpr duration peer_ask_period =
     std::chrono::milliseconds{500}; ///< while configuration is not complete, or the platform does not answer
 
@@ -88,10 +87,7 @@
         const auto drawn = membership_.draw(1);
         return drawn.empty() ? std::nullopt : std::optional{drawn.front()};
     };
-    it.taken = [this] {
-        hooks_.completed();
-        announce();
-    };
+    it.taken = [this] { hooks_.completed(); };
     return it;
 }
 
@@ -140,19 +136,23 @@
     });
 }
 
-void cluster::set_duty(bool divided, bool on_duty) {
+void cluster::set_duty(bool divided, bool on_duty, std::size_t duty_nodes) {
     divided_ = divided;
+    on_duty_ = on_duty;
+    duty_nodes_ = std::max<std::size_t>(1, duty_nodes);
     registry_.set_fed(on_duty);
     if (is_routed_)
         spread_.set_push_fanout(divided ? divided_push_fanout : 0);
 }
 
 void cluster::announce() {
-    if (!divided_ || std::exchange(announcing_, true))
+    if (!divided_ || !on_duty_ || std::exchange(announcing_, true))
         return;
     clock_.timers().schedule_after(announce_delay, [this] {
         announcing_ = false;
-        membership_.greet(announce_fanout);
+        // Together they reach about half of all nodes; the rest hears of it with the next second's probes.
+        const std::size_t share = membership_.live().size() / (2 * duty_nodes_);
+        membership_.greet(std::max(least_announced, share));
     });
 }
 
--- a/packages/daemon/document_front.cpp
+++ b/packages/daemon/document_front.cpp
@@ -69,7 +69,8 @@
 }
 
 run_id document_front::run_query(const delegated_request&, std::function<void(delegated_answer)> respond) {
-    respond({refused_answer{forward_refusal::not_configured, duration{0}}, object_version{}, true});
+    respond(
+        {refused_answer{forward_refusal::not_configured, duration{0}}, object_version{}, duration{0}, true});
     return run_id{};
 }
 
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -110,9 +110,10 @@
 delegation_hooks node::make_delegation_hooks() {
     // The cluster is made after the front: its hooks are looked up with each call.
     delegation_hooks it;
-    it.send = [this](delegation_call id, const node_address& to, const delegated_request& request,
-                     std::function<void()> seen, std::function<void(std::optional<delegated_answer>)> done) {
-        cluster_.calls().forward(id, to, request, std::move(seen), std::move(done));
+    it.open = [this](delegation_call id, const node_address& to, duration limit,
+                     std::function<delegated_request()> shown,
+                     std::function<void(std::optional<delegated_answer>)> done) {
+        cluster_.calls().forward(id, to, limit, std::move(shown), std::move(done));
     };
     it.cancel = [this](delegation_call id) { cluster_.calls().cancel(id); };
     it.domain_of = [this](const node_address& at) { return cluster_.nodes().domain_of(at); };
@@ -120,15 +121,15 @@
 }
 
 void node::update_duty() {
-    cluster_.set_duty(front_->is_divided(), front_->is_on_duty());
+    cluster_.set_duty(front_->is_divided(), front_->is_on_duty(), front_->duty_nodes());
     for (const auto& it : feeds_)
         it->on_duty_changed();
 }
 
 void node::add_feed(object_kind kind, duration rest) {
     feed_hooks hooks;
-    hooks.list = [this, kind](duration limit, feed_hooks::listed done) {
-        platform_.list(kind, limit, std::move(done));
+    hooks.list = [this, kind](duration limit, bool cheap, feed_hooks::listed done) {
+        platform_.list(kind, limit, cheap, std::move(done));
     };
     hooks.watch = [this, kind](object_version after, feed_hooks::watched done) {
         platform_.watch(kind, after, std::move(done));
--- a/packages/peer/peer.capnp
+++ b/packages/peer/peer.capnp
@@ -70,6 +70,7 @@
   missing @7 :UInt32;        # gathered
   reason @8 :UInt8;          # refused, failed
   retryAfterUs @9 :Int64;    # refused
+  tookUs @10 :Int64;         # from the holder's reading of the query to its answer
 }
 
 struct ConfigEntry {
--- a/packages/peer/peer.capnp.h
+++ b/packages/peer/peer.capnp.h
@@ -131,7 +131,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c602fecf27b5cc27, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c602fecf27b5cc27, 5, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1062,6 +1062,8 @@
 
   inline  ::int64_t getRetryAfterUs() const;
 
+  inline  ::int64_t getTookUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1133,6 +1135,9 @@
   inline  ::int64_t getRetryAfterUs();
   inline void setRetryAfterUs( ::int64_t value);
 
+  inline  ::int64_t getTookUs();
+  inline void setTookUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3547,6 +3552,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t DelegatedAnswer::Reader::getTookUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t DelegatedAnswer::Builder::getTookUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void DelegatedAnswer::Builder::setTookUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t ConfigEntry::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/peer/peer_client.cpp
+++ b/packages/peer/peer_client.cpp
@@ -152,32 +152,29 @@
         done);
 }
 
-void peer_client::forward(delegation_call id, const node_address& to, const delegated_request& request,
-                          std::function<void()> seen,
+void peer_client::forward(delegation_call id, const node_address& to, duration limit,
+                          std::function<delegated_request()> shown,
                           std::function<void(std::optional<delegated_answer>)> done) {
     using result = std::optional<delegated_answer>;
-    auto reply = connect_to(to.value())
-                     .then([this, request, seen = std::move(seen)](kj::Own<kj::AsyncIoStream> stream) {
-                         auto link = kj::heap<connection>(kj::mv(stream));
-                         auto peer = link->client.bootstrap().castAs<wire::Peer>();
-                         auto call = peer.forwardRequest();
-                         write_request(request, call.initRequest());
-                         auto answer =
-                             call.send().then([](capnp::Response<wire::Peer::ForwardResults>&& response) {
-                                 return read_answer(response.getAnswer());
-                             });
-                         // The holder's process has read the call once it has told which object takes it.
-                         auto shown = peer.whenResolved()
-                                          .then([this, seen] {
-                                              clock_.sync();
-                                              seen();
-                                          })
-                                          .eagerlyEvaluate(nullptr);
-                         return answer.attach(kj::mv(shown), kj::mv(peer), kj::mv(link));
-                     });
     auto withdrawn = kj::newPromiseAndFulfiller<void>();
     withdrawals_.insert_or_assign(id, kj::mv(withdrawn.fulfiller));
-    auto late = kj::newAdaptedPromise<void, limit_timer>(clock_.timers(), request.left + forward_margin)
+    auto reply = connect_to(to.value()).then([this, id, shown](kj::Own<kj::AsyncIoStream> stream) {
+        auto link = kj::heap<connection>(kj::mv(stream));
+        auto peer = link->client.bootstrap().castAs<wire::Peer>();
+        // The holder's process runs once it has told which object takes calls.
+        auto answer = peer.whenResolved().then([this, id, shown, peer]() mutable -> kj::Promise<result> {
+            if (!withdrawals_.contains(id))
+                return result{};
+            clock_.sync();
+            auto call = peer.forwardRequest();
+            write_request(shown(), call.initRequest());
+            return call.send().then([](capnp::Response<wire::Peer::ForwardResults>&& response) {
+                return read_answer(response.getAnswer());
+            });
+        });
+        return answer.attach(kj::mv(peer), kj::mv(link));
+    });
+    auto late = kj::newAdaptedPromise<void, limit_timer>(clock_.timers(), limit + forward_margin)
                     .then([]() -> kj::Promise<result> { return result{}; });
     auto ended = reply.exclusiveJoin(kj::mv(late))
                      .catch_([](kj::Exception&&) -> result { return std::nullopt; })
--- a/packages/peer/peer_client.h
+++ b/packages/peer/peer_client.h
@@ -37,9 +37,10 @@
               const spread_hooks::pulled& done);
     void servers(const node_address& from, object_version later_than,
                  const registry_spread_hooks::pulled& done);
-    /** Sends a query to a holder; see delegation_hooks::send. */
-    void forward(delegation_call id, const node_address& to, const delegated_request& request,
-                 std::function<void()> seen, std::function<void(std::optional<delegated_answer>)> done);
+    /** Opens a call to a holder; see delegation_hooks::open. */
+    void forward(delegation_call id, const node_address& to, duration limit,
+                 std::function<delegated_request()> shown,
+                 std::function<void(std::optional<delegated_answer>)> done);
     /** Withdraws a query. */
     void cancel(delegation_call id);
 
--- a/packages/peer/query_codec.cpp
+++ b/packages/peer/query_codec.cpp
@@ -150,6 +150,7 @@
 void write_answer(const delegated_answer& it, wire::DelegatedAnswer::Builder out) {
     out.setKind(static_cast<std::uint8_t>(it.answer.index()));
     out.setVersion(it.version.value());
+    out.setTookUs(it.took.count());
     out.setIsStale(it.is_stale);
     std::visit(answer_writer{out}, it.answer);
 }
@@ -158,7 +159,8 @@
     auto answer = read_forward_answer(in);
     if (!answer)
         return std::nullopt;
-    return delegated_answer{std::move(*answer), object_version{in.getVersion()}, in.getIsStale()};
+    return delegated_answer{std::move(*answer), object_version{in.getVersion()},
+                            duration{std::max<std::int64_t>(0, in.getTookUs())}, in.getIsStale()};
 }
 
 } // namespace pollengrade
--- a/tests/core/cluster/feed_test.cpp
+++ b/tests/core/cluster/feed_test.cpp
@@ -50,8 +50,9 @@
 
     feed_hooks hooks() {
         feed_hooks it;
-        it.list = [this](duration limit, feed_hooks::listed done) {
+        it.list = [this](duration limit, bool cheap, feed_hooks::listed done) {
             list_limits.push_back(limit);
+            list_was_cheap.push_back(cheap);
             listing = std::move(done);
         };
         it.watch = [this](object_version after, feed_hooks::watched done) {
@@ -76,6 +77,7 @@
     feed_hooks::listed listing;
     feed_hooks::watched watching;
     std::vector<duration> list_limits;
+    std::vector<bool> list_was_cheap;
     std::vector<std::uint64_t> watched_from;
     std::vector<std::uint64_t> replaced;
     std::vector<std::uint64_t> changed;
@@ -142,6 +144,8 @@
     CHECK(it.list_limits.size() == 2);
     it.answer_list(20);
     CHECK(it.watched_from == std::vector<std::uint64_t>{7, 20});
+    // Only the first may be behind: one after lost history must not be older than what is held.
+    CHECK(it.list_was_cheap == std::vector<bool>{true, false});
 }
 
 TEST_CASE("a failed watch is never repeated tightly") {
