--- a/packages/core/queries/delegation.cpp
+++ b/packages/core/queries/delegation.cpp
@@ -163,9 +163,12 @@
         it.sent.reset();
     else if (it.sent)
         return;
-    if (it.calls.empty() && it.unseen)
+    // A later one may still show itself.
+    if (!it.calls.empty() && holder != it.asked.back())
+        return;
+    if (it.unseen)
         timers_.cancel(*std::exchange(it.unseen, std::nullopt));
-    if (it.calls.empty() && !ask_next(id))
+    if (!ask_next(id))
         finish(id, std::nullopt);
 }
 
--- /dev/null
+++ b/tests/core/cluster/holders_test.cpp
@@ -0,0 +1,174 @@
+/** @file holders_test.cpp Holders: evenly placed, alike in every node's view, kept when an index is cut anew.
+ */
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/cluster/holders.h"
+
+namespace pollengrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t domains = 3;
+
+member node_of(std::size_t index, std::uint32_t capacity = 1000) {
+    member it;
+    it.address = node_address{"127.0.0.1:" + std::to_string(9000 + index)};
+    it.domain = failure_domain{"d" + std::to_string(index % domains)};
+    it.capacity = capacity;
+    return it;
+}
+
+std::vector<member> nodes_of(std::size_t count) {
+    std::vector<member> nodes;
+    for (std::size_t n = 0; n < count; ++n)
+        nodes.push_back(node_of(n));
+    return nodes;
+}
+
+/** A gather over shards that take a number of connections each. */
+route_table_ptr table_of(std::uint64_t version, const std::vector<std::string>& shards,
+                         std::uint32_t connections) {
+    route via;
+    via.name = "search";
+    via.host = "a.example";
+    via.prefix = "/search/";
+    via.is_idempotent = true;
+    via.timeout = milliseconds{600};
+    via.target = milliseconds{100};
+    via.max_attempts = 2;
+    via.max_records = 3;
+    via.least_share = 0.75;
+    route_table_parts parts;
+    parts.version = object_version{version};
+    for (const std::string& it : shards) {
+        via.shards.emplace_back(it);
+        parts.services.push_back({service_name{it}, connections});
+    }
+    parts.routes = {via};
+    parts.limits = {1024, 1024, milliseconds{1000}, milliseconds{1000}};
+    return route_table::make(std::move(parts)).value();
+}
+
+std::vector<node_address> holders_in(const holder_table& table, const route_table_ptr& routes) {
+    const auto list = table.holders_of(routes->routes().front());
+    return {list.begin(), list.end()};
+}
+
+} // namespace
+
+TEST_CASE("holders: a few nodes before servers of many connections all connect") {
+    CHECK_FALSE(needs_holders(16, 6));
+    CHECK(needs_holders(16, 7));
+    CHECK(needs_holders(16, 560));
+}
+
+TEST_CASE("holders: two a failure domain, fewer where a server takes too few connections") {
+    CHECK(wanted_holders(32, 3) == 6);
+    CHECK(wanted_holders(16, 3) == 4);
+    CHECK(wanted_holders(16, 1) == 2);
+    CHECK(wanted_holders(1, 3) == 1);
+}
+
+TEST_CASE("holders: even over failure domains, so that the loss of one leaves most") {
+    const auto nodes = nodes_of(60);
+    for (const char* group : {"search", "browse", "lookup"}) {
+        std::map<failure_domain, std::size_t> in_domain;
+        for (const node_address& at : pick_holders(group, nodes, 6)) {
+            const auto it = std::find_if(nodes.begin(), nodes.end(),
+                                         [&](const member& node) { return node.address == at; });
+            REQUIRE(it != nodes.end());
+            ++in_domain[it->domain];
+        }
+        CHECK(in_domain.size() == domains);
+        for (const auto& [domain, count] : in_domain)
+            CHECK(count == 2);
+    }
+}
+
+TEST_CASE("holders: the VMs of most capacity come first, and groups differ among equal ones") {
+    auto nodes = nodes_of(30);
+    nodes[4].capacity = 2000;
+    nodes[8].capacity = 2000;
+    const auto large = pick_holders("search", nodes, 6);
+    CHECK(std::count(large.begin(), large.end(), nodes[4].address) == 1);
+    CHECK(std::count(large.begin(), large.end(), nodes[8].address) == 1);
+
+    std::set<node_address> seen;
+    for (int n = 0; n < 20; ++n) {
+        const auto picked = pick_holders("group " + std::to_string(n), nodes_of(30), 6);
+        seen.insert(picked.begin(), picked.end());
+    }
+    // 20 groups of 6 of 30 nodes: were groups alike, only 6 would ever be picked.
+    CHECK(seen.size() > 20);
+}
+
+TEST_CASE(
+    "holders: the order in which nodes are known does not count, the loss of one moves only its place") {
+    auto nodes = nodes_of(40);
+    const auto picked = pick_holders("search", nodes, 6);
+    std::reverse(nodes.begin(), nodes.end());
+    CHECK(pick_holders("search", nodes, 6) == picked);
+
+    nodes.erase(std::find_if(nodes.begin(), nodes.end(),
+                             [&](const member& it) { return it.address == picked.front(); }));
+    const auto after = pick_holders("search", nodes, 6);
+    std::size_t kept = 0;
+    for (const node_address& it : after)
+        kept += static_cast<std::size_t>(std::count(picked.begin(), picked.end(), it));
+    CHECK(kept == 5);
+}
+
+TEST_CASE("holders: an index cut anew under its route's name keeps its holders") {
+    const auto nodes = nodes_of(40);
+    holder_table table{nodes.front().address};
+    const auto before = table_of(1, {"s0", "s1"}, 16);
+    table.update(before, nodes);
+    const auto held = holders_in(table, before);
+    CHECK(table.is_divided());
+    CHECK(held.size() == 4);
+    CHECK(table.all_holders() == 4);
+
+    const auto after = table_of(2, {"t0", "t1", "t2"}, 16);
+    table.update(after, nodes);
+    CHECK(holders_in(table, after) == held);
+}
+
+TEST_CASE("holders: only a holder connects, also to services that no route names yet") {
+    const auto nodes = nodes_of(40);
+    const auto routes = table_of(1, {"s0", "s1"}, 16);
+    std::size_t holders = 0;
+    for (const member& self : nodes) {
+        holder_table table{self.address};
+        CHECK(table.is_holder()); // Before anything is known every node may serve.
+        table.update(routes, nodes);
+        const auto held = holders_in(table, routes);
+        const bool is_one = std::find(held.begin(), held.end(), self.address) != held.end();
+        holders += is_one ? 1 : 0;
+        CHECK(table.is_holder() == is_one);
+        CHECK(table.holds(service_name{"s0"}) == is_one);
+        CHECK(table.holds(service_name{"t0"}) == is_one);
+        CHECK(table.sharing(service_name{"s0"}) == 4);
+    }
+    CHECK(holders == 4);
+}
+
+TEST_CASE("holders: where every node has its share nobody is one") {
+    const auto nodes = nodes_of(6);
+    const auto routes = table_of(1, {"s0", "s1"}, 16);
+    holder_table table{nodes.front().address};
+    table.update(routes, nodes);
+    CHECK_FALSE(table.is_divided());
+    CHECK(holders_in(table, routes).empty());
+    CHECK(table.holds(service_name{"s0"}));
+    CHECK(table.sharing(service_name{"s0"}) == 6);
+}
+
+} // namespace pollengrade
