--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -44,6 +44,7 @@
     std::uint64_t revision = 0; ///< of its last change
     std::uint64_t created = 0;  ///< revision at its creation
     std::string spec;           ///< a JSON text
+    time_point written{};       ///< of the last write, whether or not it changed anything
 };
 
 /** One change, kept so that watches can catch up. */
@@ -93,6 +94,21 @@
         soup_server_add_handler(server_.get(), "/standin", &standin_platform::on_control, this, nullptr);
     }
 
+    /** Servers' entries that are not written for as long are removed, also while calls fail. */
+    void expire_servers_after(duration limit) {
+        clock_.timers().schedule_after(limit / 4, [this, limit] {
+            auto& servers = objects_[wire_names::servers_kind];
+            for (auto it = servers.begin(); it != servers.end();) {
+                const std::string name = it->first;
+                const bool is_silent = clock_.timers().now() - it->second.written > limit;
+                ++it;
+                if (is_silent)
+                    erase(wire_names::servers_kind, name);
+            }
+            expire_servers_after(limit);
+        });
+    }
+
     bool listen(const std::string& address) {
         const auto where = to_socket_address(address);
         return soup_server_listen(server_.get(), where.get(), static_cast<SoupServerListenOptions>(0),
@@ -215,6 +231,7 @@
             return;
         }
         object& it = objects_[kind][name];
+        it.written = clock_.timers().now();
         const std::string new_spec = spec->to_json();
         if (it.spec != new_spec) {
             it.revision = ++revision_;
@@ -229,14 +246,19 @@
     }
 
     void remove(SoupServerMessage* message, const std::string& kind, const std::string& name) {
-        const auto node = objects_[kind].extract(name);
-        if (node.empty()) {
+        const auto known = objects_[kind].find(name);
+        if (known == objects_[kind].end()) {
             respond(message, SOUP_STATUS_NOT_FOUND, "{}");
             return;
         }
+        respond(message, SOUP_STATUS_OK, object_json(name, known->second));
+        erase(kind, name);
+    }
+
+    void erase(const std::string& kind, const std::string& name) {
+        const auto node = objects_[kind].extract(name);
         ++revision_;
         note_change({revision_, kind, name, node.mapped(), true});
-        respond(message, SOUP_STATUS_OK, object_json(name, node.mapped()));
     }
 
     void note_change(change it) {
@@ -348,7 +370,9 @@
 int run(int argc, char** argv) {
     cxxopts::Options options{"standin_platform", "Stand-in of the platform's object API."};
     options.add_options()("listen", "IPv4:port",
-                          cxxopts::value<std::string>()->default_value("127.0.0.1:7000"));
+                          cxxopts::value<std::string>()->default_value("127.0.0.1:7000"))(
+        "expire-ms", "servers' entries live as long after each write; 0 for ever",
+        cxxopts::value<std::uint32_t>()->default_value("0"));
     const auto flags = options.parse(argc, argv);
     loop_clock clock;
     standin_platform platform{clock};
@@ -356,6 +380,8 @@
         std::fputs("standin_platform: cannot listen\n", stderr);
         return EXIT_FAILURE;
     }
+    if (const auto limit = flags["expire-ms"].as<std::uint32_t>(); limit > 0)
+        platform.expire_servers_after(std::chrono::milliseconds{limit});
     const gmain_loop_ptr loop{g_main_loop_new(nullptr, FALSE)};
     g_main_loop_run(loop.get());
     return EXIT_SUCCESS;
--- a/standins/standin_upstreams.cpp
+++ b/standins/standin_upstreams.cpp
@@ -1,4 +1,5 @@
 /** @file standin_upstreams.cpp Many stand-in servers of one service in one process. */
+#include <csignal>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -12,10 +13,12 @@
 #include <vector>
 
 #include <cxxopts.hpp>
+#include <glib-unix.h>
 #include <libsoup/soup.h>
 
 #include "http/header_names.h"
 #include "http/uri_func.h"
+#include "registration.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
 #include "runtime/program_func.h"
@@ -35,12 +38,17 @@
     std::uint32_t shards = 0;
     std::uint32_t replicas = 0;
     std::uint32_t port = 0;
+    std::uint32_t first_replica = 0; ///< the others are another process's
 
     [[nodiscard]] std::string address(std::uint32_t shard, std::uint32_t replica) const {
+        return address(shard, replica, port);
+    }
+
+    [[nodiscard]] std::string address(std::uint32_t shard, std::uint32_t replica, std::uint32_t at) const {
         constexpr std::uint32_t shards_per_net = 250; // The third octet ends at 255.
         return "127." + std::to_string(net + shard / shards_per_net) + "." +
                std::to_string(shard % shards_per_net) + "." + std::to_string(replica + 1) + ":" +
-               std::to_string(port);
+               std::to_string(at);
     }
 
     [[nodiscard]] std::string shard_maps(const std::set<std::uint64_t>& versions) const {
@@ -60,6 +68,9 @@
     }
 };
 
+constexpr std::uint32_t domains = 3;                             ///< failure domains, by replica
+constexpr duration drain_time = std::chrono::milliseconds{3500}; ///< longer than nodes have to hear of it
+
 /** @return a number in a control call; nullopt when it is not there. */
 std::optional<std::uint64_t> query_number(GHashTable* query, const char* name) {
     const char* text = static_cast<const char*>(g_hash_table_lookup(query, name));
@@ -77,7 +88,8 @@
 
     bool listen(const std::string& control, const layout& where, const upstream_behaviour& behaviour) {
         for (std::uint32_t shard = 0; shard < where.shards; ++shard) {
-            for (std::uint32_t replica = 0; replica < where.replicas; ++replica) {
+            for (std::uint32_t replica = where.first_replica; replica < where.first_replica + where.replicas;
+                 ++replica) {
                 servers_.push_back(std::make_unique<upstream_server>(clock_, random_, counts_,
                                                                      where.address(shard, replica),
                                                                      where.service, shard, behaviour));
@@ -90,6 +102,34 @@
                                   nullptr) != FALSE;
     }
 
+    /** Serves the users' interface: every shard is a service, whose servers are in the platform's store. */
+    void serve_forwarded(const std::string& platform, const layout& where, std::uint32_t advertised_port,
+                         std::uint32_t slots) {
+        std::vector<registered_server> entries;
+        std::size_t n = 0;
+        for (std::uint32_t shard = 0; shard < where.shards; ++shard) {
+            for (std::uint32_t replica = where.first_replica; replica < where.first_replica + where.replicas;
+                 ++replica) {
+                const forwarded_names names{where.service + "-" + std::to_string(shard),
+                                            "i-" + std::to_string(random_())};
+                servers_.at(n++)->serve_forwarded(names);
+                entries.push_back({names.server, names.service,
+                                   where.address(shard, replica, advertised_port),
+                                   "domain-" + std::to_string(replica % domains), slots,
+                                   wall_now().time_since_epoch().count()});
+            }
+        }
+        registration_.emplace(clock_, platform);
+        registration_->start(std::move(entries));
+    }
+
+    /** Says that the servers are leaving, and ends once every node has heard of it. */
+    void drain(std::function<void()> ended) {
+        if (registration_)
+            registration_->drain();
+        clock_.timers().schedule_after(drain_time, std::move(ended));
+    }
+
 private:
     static void on_control(SoupServer*, SoupServerMessage* message, const char* path, GHashTable* query,
                            gpointer self) {
@@ -186,6 +226,19 @@
     upstream_counts counts_;                                ///< over all servers
     std::vector<std::unique_ptr<upstream_server>> servers_; ///< all servers
     gobject_ptr<SoupServer> control_;                       ///< the control page
+    std::optional<registration> registration_;              ///< in the platform's store
+};
+
+/** What SIGTERM asks of the process. */
+struct stop_signal {
+    standin_upstreams& upstreams;
+    GMainLoop* loop;
+
+    static gboolean on_signal(gpointer self) {
+        auto* it = static_cast<stop_signal*>(self);
+        it->upstreams.drain([loop = it->loop] { g_main_loop_quit(loop); });
+        return G_SOURCE_REMOVE;
+    }
 };
 
 int run(int argc, char** argv) {
@@ -205,11 +258,16 @@
         "service-us", "mean time of a request", cxxopts::value<std::uint32_t>()->default_value("2000"))(
         "rows", "rows in a reply", cxxopts::value<std::uint32_t>()->default_value("3"))(
         "seed", "seed of random numbers", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "first-replica", "first replica served here", cxxopts::value<std::uint32_t>()->default_value("0"))(
+        "queue", "requests kept waiting", cxxopts::value<std::uint32_t>()->default_value("16"))(
+        "platform", "IPv4:port of the store: serve the users' interface and register there",
+        cxxopts::value<std::string>())("advertised-port", "port in the store's entries",
+                                       cxxopts::value<std::uint32_t>()->default_value("9000"))(
         "print-shard-map", "print the shard maps of these versions and end", cxxopts::value<std::string>());
     const auto flags = options.parse(argc, argv);
-    const layout where{flags["service"].as<std::string>(), flags["net"].as<std::uint32_t>(),
+    const layout where{flags["service"].as<std::string>(),  flags["net"].as<std::uint32_t>(),
                        flags["shards"].as<std::uint32_t>(), flags["replicas"].as<std::uint32_t>(),
-                       flags["port"].as<std::uint32_t>()};
+                       flags["port"].as<std::uint32_t>(),   flags["first-replica"].as<std::uint32_t>()};
     if (flags.count("print-shard-map") > 0) {
         std::set<std::uint64_t> versions;
         std::istringstream in{flags["print-shard-map"].as<std::string>()};
@@ -220,6 +278,7 @@
     }
     upstream_behaviour behaviour;
     behaviour.slots = flags["slots"].as<std::uint32_t>();
+    behaviour.queue = flags["queue"].as<std::uint32_t>();
     behaviour.connections = flags["connections"].as<std::uint32_t>();
     behaviour.connect_ms = flags["connect-ms"].as<std::uint32_t>();
     behaviour.service_us = flags["service-us"].as<std::uint32_t>();
@@ -230,7 +289,12 @@
         std::cerr << "standin_upstreams: cannot listen\n";
         return EXIT_FAILURE;
     }
+    if (flags.count("platform") > 0)
+        upstreams.serve_forwarded(flags["platform"].as<std::string>(), where,
+                                  flags["advertised-port"].as<std::uint32_t>(), behaviour.slots);
     const gmain_loop_ptr loop{g_main_loop_new(nullptr, FALSE)};
+    stop_signal stop{upstreams, loop.get()};
+    g_unix_signal_add(SIGTERM, &stop_signal::on_signal, &stop);
     g_main_loop_run(loop.get());
     return EXIT_SUCCESS;
 }
--- a/standins/upstream_server.cpp
+++ b/standins/upstream_server.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 #include <optional>
 #include <utility>
 
@@ -12,6 +13,8 @@
 #include "core/base/id_type.h"
 #include "http/header_names.h"
 #include "http/uri_func.h"
+#include "part_func.h"
+#include "platform/wire_names.h"
 #include "soup/soup_func.h"
 #include "json/json_view.h"
 
@@ -48,6 +51,22 @@
     soup_server_message_set_status(message, SOUP_STATUS_SERVICE_UNAVAILABLE, nullptr);
 }
 
+void refuse_forwarded(SoupServerMessage* message, unsigned status) {
+    SoupMessageHeaders* headers = soup_server_message_get_response_headers(message);
+    soup_message_headers_replace(headers, wire_names::not_run, "1");
+    soup_message_headers_replace(headers, wire_names::retry_after, "0.02");
+    soup_server_message_set_status(message, status, nullptr);
+}
+
+/** Written before the request runs: what is killed while it runs has left its line. */
+void print_run(const forwarded_names& names, SoupServerMessage* message, const std::string& request) {
+    std::printf("run %lld %s %s %s %s %s\n", // NOLINT(*-vararg): a fixed line
+                static_cast<long long>(wall_now().time_since_epoch().count()), request.c_str(),
+                names.service.c_str(), names.server.c_str(), soup_server_message_get_method(message),
+                g_uri_get_path(soup_server_message_get_uri(message)));
+    std::fflush(stdout);
+}
+
 } // namespace
 
 /** One request. */
@@ -177,6 +196,10 @@
 }
 
 void upstream_server::take(SoupServerMessage* message, const std::string& path, GHashTable* query) {
+    if (names_) {
+        take_forwarded(message);
+        return;
+    }
     const std::string prefix = "/shards/" + service_ + "/" + std::to_string(shard_) + "/";
     if (!path.starts_with(prefix)) {
         soup_server_message_set_status(message, SOUP_STATUS_NOT_FOUND, nullptr);
@@ -201,13 +224,52 @@
     it->version = number(header(message, index_version_header));
     it->deadline =
         clock_.timers().now() + std::chrono::milliseconds{number(header(message, deadline_ms_header))};
-    soup_server_message_pause(message);
+    enqueue(std::move(it));
+}
+
+void upstream_server::enqueue(std::shared_ptr<work> it) {
+    soup_server_message_pause(it->message);
     auto* share = new std::shared_ptr<work>{it};
-    g_signal_connect(message, "finished", G_CALLBACK(&upstream_server::on_finished), share);
+    g_signal_connect(it->message, "finished", G_CALLBACK(&upstream_server::on_finished), share);
     waiting_.push_back(std::move(it));
     start_waiting();
 }
 
+void upstream_server::take_forwarded(SoupServerMessage* message) {
+    if (is_silent(message)) {
+        soup_server_message_pause(message);
+        return;
+    }
+    const bool is_meant = header(message, wire_names::expected_server) == names_->server;
+    const bool is_full = running_ >= behaviour_.slots && waiting_.size() >= behaviour_.queue;
+    if (!is_meant || behaviour_.shedding || is_full) {
+        counts_.shed += is_meant ? 1 : 0;
+        refuse_forwarded(message,
+                         is_meant ? SOUP_STATUS_SERVICE_UNAVAILABLE : SOUP_STATUS_MISDIRECTED_REQUEST);
+        return;
+    }
+    auto it = std::make_shared<work>();
+    it->owner = this;
+    it->message = message;
+    it->request = header(message, wire_names::request_id);
+    it->deadline =
+        clock_.timers().now() + std::chrono::milliseconds{number(header(message, wire_names::deadline_ms))};
+    enqueue(std::move(it));
+}
+
+void upstream_server::complete_forwarded(const work& it) {
+    const std::string body = part_of(it.request, names_->service);
+    SoupMessageHeaders* headers = soup_server_message_get_response_headers(it.message);
+    soup_message_headers_replace(headers, wire_names::request_id,
+                                 behaviour_.wrong_request ? "another" : it.request.c_str());
+    soup_message_headers_replace(headers, wire_names::signature,
+                                 signature_of(it.request, names_->service, names_->server).c_str());
+    soup_server_message_set_status(it.message, SOUP_STATUS_OK, nullptr);
+    soup_server_message_set_response(it.message, "application/octet-stream", SOUP_MEMORY_COPY, body.data(),
+                                     body.size());
+    soup_server_message_unpause(it.message);
+}
+
 void upstream_server::start_waiting() {
     while (running_ < behaviour_.slots && !waiting_.empty()) {
         const std::shared_ptr<work> it = waiting_.front();
@@ -238,6 +300,8 @@
     it->running = true;
     if (!it->key.empty())
         ++counts_.orders[it->key];
+    if (names_)
+        print_run(*names_, it->message, it->request);
     it->end = clock_.timers().schedule_after(draw_service_time(), [this, it] { complete(*it); });
 }
 
@@ -249,6 +313,8 @@
     if (behaviour_.drop_after_run) {
         const gobject_ptr<GIOStream> stream{soup_server_message_steal_connection(it.message)};
         g_io_stream_close(stream.get(), nullptr, nullptr);
+    } else if (names_) {
+        complete_forwarded(it);
     } else {
         const std::string body = reply_body(it);
         soup_server_message_set_status(it.message, SOUP_STATUS_OK, nullptr);
--- a/standins/upstream_server.h
+++ b/standins/upstream_server.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -38,6 +39,12 @@
     std::set<std::uint64_t> versions{1};  ///< index versions held
 };
 
+/** How a server of the users' interface is named; the other interface knows servers by their addresses. */
+struct forwarded_names {
+    std::string service; ///< what it serves
+    std::string server;  ///< its ID in the store
+};
+
 /** What all stand-in servers of a process count together. */
 struct upstream_counts {
     std::uint64_t started = 0;                   ///< requests begun
@@ -62,6 +69,8 @@
     upstream_server& operator=(upstream_server&&) = delete;
     ~upstream_server();
 
+    /** Serves the users' interface from now on, and prints a line for each request that it begins to run. */
+    void serve_forwarded(forwarded_names names) { names_ = std::move(names); }
     /** Starts to listen. */
     bool start();
     /** Stops without notice: open connections are closed and new ones refused. */
@@ -84,6 +93,9 @@
     static void on_finished(SoupServerMessage* message, gpointer data);
     void accept(GSocketConnection* connection);
     void take(SoupServerMessage* message, const std::string& path, GHashTable* query);
+    void take_forwarded(SoupServerMessage* message);
+    void enqueue(std::shared_ptr<work> it);
+    void complete_forwarded(const work& it);
     [[nodiscard]] const char* refusal(SoupServerMessage* message) const;
     [[nodiscard]] bool is_silent(SoupServerMessage* message) const;
     void start_waiting();
@@ -99,6 +111,7 @@
     std::string service_;                           ///< the service
     std::uint32_t shard_;                           ///< the shard held
     upstream_behaviour behaviour_;                  ///< how it behaves
+    std::optional<forwarded_names> names_;          ///< see serve_forwarded()
     std::string incarnation_;                       ///< changes with each start
     time_point started_{};                          ///< when it was last started
     gobject_ptr<SoupServer> server_;                ///< the HTTP side
