--- a/packages/peer/peer_client.cpp
+++ b/packages/peer/peer_client.cpp
@@ -153,7 +153,7 @@
 }
 
 void peer_client::forward(delegation_call id, const node_address& to, duration limit,
-                          std::function<delegated_request()> shown,
+                          const std::function<delegated_request()>& shown,
                           std::function<void(std::optional<delegated_answer>)> done) {
     using result = std::optional<delegated_answer>;
     auto withdrawn = kj::newPromiseAndFulfiller<void>();
--- a/packages/peer/peer_client.h
+++ b/packages/peer/peer_client.h
@@ -39,7 +39,7 @@
                  const registry_spread_hooks::pulled& done);
     /** Opens a call to a holder; see delegation_hooks::open. */
     void forward(delegation_call id, const node_address& to, duration limit,
-                 std::function<delegated_request()> shown,
+                 const std::function<delegated_request()>& shown,
                  std::function<void(std::optional<delegated_answer>)> done);
     /** Withdraws a query. */
     void cancel(delegation_call id);
--- /dev/null
+++ b/soak/fault_plan.cpp
@@ -0,0 +1,61 @@
+/** @file fault_plan.cpp Drawing of faults. */
+#include "fault_plan.h"
+
+#include <algorithm>
+#include <array>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr std::array<std::string_view, fault_kinds> names{
+    "node_paused",         "node_killed",          "node_stopped",    "node_reloaded",  "all_nodes_killed",
+    "servers_paused",      "servers_killed",       "servers_drained", "servers_frozen", "servers_shedding",
+    "servers_dropping",    "servers_misanswering", "servers_slow",    "servers_silent", "servers_reset",
+    "servers_cut",         "callers_delayed",      "callers_reset",   "store_link_cut", "store_link_one_way",
+    "store_link_delayed",  "store_link_silent",    "store_paused",    "store_down",     "store_silent",
+    "store_loses_replies", "store_loses_calls",    "store_forgets",   "version_written"};
+
+constexpr std::uint64_t mean_gap_ms = 700; ///< between faults, or between series
+constexpr std::uint64_t shortest_ms = 100;
+constexpr std::uint64_t longest_ms = 3000;
+constexpr std::uint64_t series_one_in = 4;  ///< faults that come again soon
+constexpr std::uint64_t most_in_series = 4; ///< times
+constexpr std::uint64_t series_gap_ms = 600;
+
+} // namespace
+
+std::string_view to_string(fault_kind it) {
+    return names.at(static_cast<std::size_t>(it));
+}
+
+std::vector<planned_fault> draw_faults(const std::function<std::uint64_t()>& random,
+                                       const soak_world& world) {
+    std::vector<planned_fault> plan;
+    using std::chrono::milliseconds;
+    const auto draw_ms = [&](std::uint64_t most) { return milliseconds{1 + random() % most}; };
+    duration at = draw_ms(mean_gap_ms);
+    while (at < world.span) {
+        planned_fault it;
+        it.kind = static_cast<fault_kind>(random() % fault_kinds);
+        const bool is_of_servers =
+            it.kind >= fault_kind::servers_paused && it.kind <= fault_kind::servers_cut;
+        it.target = static_cast<std::uint32_t>(random() % (is_of_servers ? world.replicas : world.nodes));
+        it.service = static_cast<std::uint32_t>(random() % service_count);
+        const std::uint64_t times = random() % series_one_in == 0 ? 2 + random() % (most_in_series - 1) : 1;
+        duration next = at;
+        for (std::uint64_t n = 0; n < times && next < world.span; ++n) {
+            it.at = next;
+            const duration drawn = milliseconds{shortest_ms} + draw_ms(longest_ms - shortest_ms);
+            it.length = std::min<duration>(drawn, world.span - it.at);
+            plan.push_back(it);
+            next += draw_ms(series_gap_ms);
+        }
+        at += draw_ms(2 * mean_gap_ms);
+    }
+    std::sort(plan.begin(), plan.end(),
+              [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+    return plan;
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/soak/fault_player.cpp
@@ -0,0 +1,276 @@
+/** @file fault_player.cpp Signals, links and switches. */
+#include "fault_player.h"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <utility>
+
+#include "net/message_writer.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr message_limits reply_limits{std::size_t{64} * 1024, std::size_t{1024} * 1024};
+constexpr duration restart_time =
+    std::chrono::seconds{2}; ///< for a process to be started again by its keeper
+constexpr duration link_delay = std::chrono::milliseconds{60};
+constexpr duration exit_slack = std::chrono::seconds{1}; ///< past the grace, before a stop is overdue
+
+std::string node_process(std::uint32_t node) {
+    return "node-" + std::to_string(node + 1);
+}
+std::string servers_process(std::uint32_t replica) {
+    return "servers-" + std::to_string(replica);
+}
+
+} // namespace
+
+fault_player::fault_player(socket_poller& poller, timer_queue& timers, const soak_world& world,
+                           operator_client& writer)
+    : poller_{poller}, timers_{timers}, world_{world}, writer_{writer} {
+    for (std::uint32_t n = 0; n < world.nodes; ++n) {
+        callers_.push_back(
+            std::make_unique<link_proxy>(poller, timers, world.node_proxy(n), world.node_address(n)));
+        stores_.push_back(
+            std::make_unique<link_proxy>(poller, timers, world.store_proxy(n), world.store_address()));
+    }
+    for (std::uint32_t service = 0; service < service_count; ++service) {
+        for (std::uint32_t n = 0; n < world.replicas; ++n)
+            servers_.push_back(std::make_unique<link_proxy>(poller, timers, world.server_proxy(service, n),
+                                                            world.server_address(service, n)));
+    }
+}
+
+bool fault_player::start_links() {
+    for (const auto* links : {&callers_, &stores_, &servers_}) {
+        for (const auto& it : *links) {
+            if (!it->start())
+                return false;
+        }
+    }
+    return true;
+}
+
+void fault_player::play(const std::vector<planned_fault>& plan) {
+    for (const planned_fault& it : plan)
+        timers_.schedule_after(it.at, [this, it] { begin(it); });
+}
+
+void fault_player::kill_all() {
+    std::cout << "all nodes are killed\n";
+    for (std::uint32_t n = 0; n < world_.nodes; ++n) {
+        signal(node_process(n), SIGKILL);
+        note(n, restart_time, false);
+    }
+}
+
+int fault_player::pid_of(const std::string& process) const {
+    std::ifstream in{world_.directory + "/" + process + ".pid"};
+    int pid = 0;
+    in >> pid;
+    return pid;
+}
+
+void fault_player::signal(const std::string& process, int number) const {
+    const int pid = pid_of(process);
+    if (pid <= 1 || ::kill(pid, number) != 0)
+        std::cout << process << " is not running: no signal " << number << "\n";
+}
+
+void fault_player::note(std::uint32_t node, duration length, bool is_planned) {
+    disturbances_.push_back({node, timers_.now(), timers_.now() + length, is_planned});
+}
+
+void fault_player::pause(const std::string& process, duration length) {
+    signal(process, SIGSTOP);
+    timers_.schedule_after(length, [this, process] { signal(process, SIGCONT); });
+}
+
+void fault_player::stop_node(std::uint32_t node) {
+    const std::string process = node_process(node);
+    const int pid = pid_of(process);
+    signal(process, SIGTERM);
+    note(node, grace + restart_time, true);
+    timers_.schedule_after(grace + exit_slack, [this, process, pid] {
+        if (pid_of(process) != pid || ::kill(pid, 0) != 0)
+            return;
+        std::cout << process << " " << pid << " still runs after its grace\n";
+        ++overdue_stops_;
+        ::kill(pid, SIGKILL);
+    });
+}
+
+void fault_player::set_mode(std::vector<std::unique_ptr<link_proxy>>& links, std::size_t first,
+                            std::size_t step, link_mode mode, duration length) {
+    for (std::size_t n = first; n < links.size(); n += step) {
+        links[n]->set_mode(mode, link_delay);
+        timers_.schedule_after(length, [&it = *links[n]] { it.set_mode(link_mode::clear); });
+    }
+}
+
+void fault_player::begin(const planned_fault& it) {
+    std::cout << to_string(it.kind) << " target " << it.target << " service " << it.service << " for "
+              << to_milliseconds(it.length) << " ms\n";
+    if (it.kind <= fault_kind::all_nodes_killed || it.kind == fault_kind::callers_delayed ||
+        it.kind == fault_kind::callers_reset) {
+        begin_on_node(it);
+    } else if (it.kind <= fault_kind::servers_cut) {
+        server_disturbances_.push_back(
+            {it.target, timers_.now(), timers_.now() + it.length + restart_time, false});
+        begin_on_servers(it);
+    } else {
+        begin_on_store(it);
+    }
+}
+
+void fault_player::begin_on_node(const planned_fault& it) {
+    const std::string process = node_process(it.target);
+    switch (it.kind) {
+    case fault_kind::node_paused:
+        note(it.target, it.length, false);
+        pause(process, it.length);
+        break;
+    case fault_kind::node_killed:
+        note(it.target, restart_time, false);
+        signal(process, SIGKILL);
+        break;
+    case fault_kind::node_stopped:
+        stop_node(it.target);
+        break;
+    case fault_kind::node_reloaded:
+        note(it.target, duration{0}, true);
+        signal(process, SIGHUP);
+        break;
+    case fault_kind::callers_delayed:
+        note(it.target, it.length, false);
+        set_mode(callers_, it.target, callers_.size(), link_mode::delayed, it.length);
+        break;
+    case fault_kind::callers_reset:
+        note(it.target, duration{0}, false);
+        callers_[it.target]->reset_all();
+        break;
+    default:
+        kill_all();
+        break;
+    }
+}
+
+void fault_player::begin_on_servers(const planned_fault& it) {
+    const std::string process = servers_process(it.target);
+    switch (it.kind) {
+    case fault_kind::servers_paused:
+        pause(process, it.length);
+        break;
+    case fault_kind::servers_killed:
+        signal(process, SIGKILL);
+        break;
+    case fault_kind::servers_drained:
+        signal(process, SIGTERM);
+        break;
+    case fault_kind::servers_frozen:
+        switch_servers(it, "frozen=1", "frozen=0");
+        break;
+    case fault_kind::servers_shedding:
+        switch_servers(it, "shedding=1", "shedding=0");
+        break;
+    case fault_kind::servers_dropping:
+        switch_servers(it, "drop_after_run=1", "drop_after_run=0");
+        break;
+    case fault_kind::servers_misanswering:
+        switch_servers(it, "wrong_request=1", "wrong_request=0");
+        break;
+    case fault_kind::servers_slow:
+        switch_servers(it, "service_us=40000", "service_us=4000");
+        break;
+    case fault_kind::servers_silent:
+        for (std::size_t n = it.target; n < servers_.size(); n += world_.replicas)
+            servers_[n]->silence_open();
+        break;
+    case fault_kind::servers_reset:
+        for (std::size_t n = it.target; n < servers_.size(); n += world_.replicas)
+            servers_[n]->reset_all();
+        break;
+    default:
+        set_mode(servers_, it.target, world_.replicas, link_mode::cut, it.length);
+        break;
+    }
+}
+
+void fault_player::begin_on_store(const planned_fault& it) {
+    const auto set_fault = [&](const char* mode) {
+        note(all_nodes, it.length, false);
+        call(world_.store_address(), std::string{"/standin/fault?mode="} + mode);
+        timers_.schedule_after(it.length,
+                               [this] { call(world_.store_address(), "/standin/fault?mode=none"); });
+    };
+    const auto set_link = [&](link_mode mode) {
+        note(it.target, it.length, false);
+        set_mode(stores_, it.target, stores_.size(), mode, it.length);
+    };
+    switch (it.kind) {
+    case fault_kind::store_link_cut:
+        set_link(link_mode::cut);
+        break;
+    case fault_kind::store_link_one_way:
+        set_link(link_mode::one_way);
+        break;
+    case fault_kind::store_link_delayed:
+        set_link(link_mode::delayed);
+        break;
+    case fault_kind::store_link_silent:
+        note(it.target, duration{0}, false);
+        stores_[it.target]->silence_open();
+        break;
+    case fault_kind::store_paused:
+        note(all_nodes, it.length, false);
+        pause("store", it.length);
+        break;
+    case fault_kind::store_down:
+        set_fault("down");
+        break;
+    case fault_kind::store_silent:
+        set_fault("silent");
+        break;
+    case fault_kind::store_loses_replies:
+        set_fault("lose_replies");
+        break;
+    case fault_kind::store_loses_calls:
+        set_fault("lose_calls");
+        break;
+    case fault_kind::store_forgets:
+        note(all_nodes, duration{0}, false);
+        call(world_.store_address(), "/standin/forget");
+        break;
+    default:
+        writer_.write(it.target % 2 == 0 ? std::vector<std::uint32_t>{0, 1, 2, 3, 4, 5}
+                                         : std::vector<std::uint32_t>{0, 1, 2, 3});
+        break;
+    }
+}
+
+void fault_player::switch_servers(const planned_fault& it, const std::string& on, const std::string& off) {
+    const std::string address = world_.control_address(it.target);
+    const std::string path = "/set?shard=" + std::to_string(it.service) + "&";
+    call(address, path + on);
+    timers_.schedule_after(it.length, [this, address, path, off] { call(address, path + off); });
+}
+
+void fault_player::call(const std::string& address, const std::string& path) {
+    const std::size_t place = calls_.size();
+    request_message message{"GET", path, {{"Host", address}, {"Connection", "close"}}, {}, false};
+    outgoing_request out;
+    append_request_header(out.header, message, 0);
+    out.header += "\r\n";
+    client_connection_hooks hooks;
+    hooks.connected = [this, place, out] { calls_[place]->send(out); };
+    hooks.replied = [](const reply_message&) {};
+    // A stand-in that is gone begins anew without its fault.
+    hooks.ended = [](connection_end) {};
+    calls_.push_back(std::make_unique<client_connection>(poller_, address, reply_limits, std::move(hooks)));
+    if (!calls_[place]->connect())
+        std::cout << address << path << " is not reached\n";
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/soak/link_proxy.cpp
@@ -0,0 +1,214 @@
+/** @file link_proxy.cpp Two sockets a connection, and the bytes held between them. */
+#include "link_proxy.h"
+
+#include <array>
+#include <deque>
+#include <utility>
+
+#include <sys/socket.h>
+
+#include "net/socket_func.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr std::size_t chunk_bytes = std::size_t{64} * 1024;
+constexpr std::size_t most_held = std::size_t{1024} * 1024; ///< of one direction; more stays with its sender
+
+/** Makes the close of a socket a reset. */
+void reset_on_close(const unique_fd& fd) {
+    const linger it{1, 0};
+    ::setsockopt(fd.get(), SOL_SOCKET, SO_LINGER, &it, sizeof it);
+}
+
+} // namespace
+
+/** One connection. */
+class link_proxy::pipe {
+public:
+    pipe(link_proxy& owner, std::uint64_t key, unique_fd client, unique_fd server)
+        : owner_{owner}, key_{key} {
+        ends_[0].fd = std::move(client);
+        ends_[1].fd = std::move(server);
+        for (std::size_t n = 0; n < ends_.size(); ++n)
+            ends_[n].watch = owner_.poller_.add(ends_[n].fd, {},
+                                                [this, n](socket_events events) { on_events(n, events); });
+        update();
+    }
+
+    void reset() {
+        for (end& it : ends_) {
+            reset_on_close(it.fd);
+            it.watch.reset();
+        }
+        owner_.retire(key_);
+    }
+    void silence() { silent_ = true; }
+
+    /** Moves what may move; called when the link's mode has changed as well. */
+    void update() {
+        for (std::size_t n = 0; n < ends_.size(); ++n) {
+            if (!flush(n))
+                return;
+        }
+        for (std::size_t n = 0; n < ends_.size(); ++n) {
+            const end& other = ends_[1 - n];
+            const bool wants = !silent_ && !ends_[n].ended && other.held < most_held;
+            ends_[n].watch.set_interest({wants, !ends_[n].chunks.empty() && is_due(n)});
+        }
+    }
+
+private:
+    struct chunk {
+        time_point due;
+        std::string bytes;
+    };
+    /** One socket and what is to be written to it. */
+    struct end {
+        unique_fd fd;
+        std::deque<chunk> chunks;
+        std::size_t held = 0;
+        bool ended = false; ///< it sends nothing more
+        socket_watch watch;
+    };
+
+    [[nodiscard]] bool is_due(std::size_t to) const {
+        return !silent_ && !owner_.holds(to == 0) && ends_[to].chunks.front().due <= owner_.timers_.now();
+    }
+
+    void on_events(std::size_t n, socket_events events) {
+        if (silent_) {
+            ends_[n].watch.reset(); // Its end would be told again and again.
+            return;
+        }
+        if (events.failed) {
+            reset();
+            return;
+        }
+        if (events.readable && !read(n))
+            return;
+        update();
+    }
+
+    bool read(std::size_t from) {
+        end& it = ends_[from];
+        end& other = ends_[1 - from];
+        std::array<char, chunk_bytes> buf{};
+        const auto n = ::recv(it.fd.get(), buf.data(), buf.size(), 0);
+        if (n < 0 && would_block())
+            return true;
+        if (n < 0) {
+            reset();
+            return false;
+        }
+        if (n == 0) {
+            it.ended = true;
+            it.watch.reset();
+            return true;
+        }
+        const time_point due = owner_.timers_.now() + owner_.delay_;
+        other.chunks.push_back({due, std::string{buf.data(), static_cast<std::size_t>(n)}});
+        other.held += static_cast<std::size_t>(n);
+        if (owner_.delay_.count() > 0)
+            owner_.timers_.schedule_at(due, [owner = &owner_, key = key_] {
+                if (const auto found = owner->pipes_.find(key); found != owner->pipes_.end())
+                    found->second->update();
+            });
+        return true;
+    }
+
+    /** Writes what is due to one end. @return false when the connection is over */
+    bool flush(std::size_t to) {
+        end& it = ends_[to];
+        while (!it.chunks.empty() && is_due(to)) {
+            std::string& bytes = it.chunks.front().bytes;
+            const auto n = ::send(it.fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (n < 0 && would_block())
+                return true;
+            if (n < 0) {
+                reset();
+                return false;
+            }
+            it.held -= static_cast<std::size_t>(n);
+            bytes.erase(0, static_cast<std::size_t>(n));
+            if (bytes.empty())
+                it.chunks.pop_front();
+        }
+        if (it.chunks.empty() && ends_[1 - to].ended && !owner_.holds(to == 0)) {
+            for (end& one : ends_)
+                one.watch.reset();
+            owner_.retire(key_);
+            return false;
+        }
+        return true;
+    }
+
+    link_proxy& owner_;
+    std::uint64_t key_;
+    std::array<end, 2> ends_; ///< who connected, and where to
+    bool silent_ = false;
+};
+
+link_proxy::link_proxy(socket_poller& poller, timer_queue& timers, std::string from, std::string to)
+    : poller_{poller}, timers_{timers}, from_{std::move(from)}, to_{std::move(to)} {}
+
+link_proxy::~link_proxy() = default;
+
+bool link_proxy::start() {
+    listener_ = listen_at(from_);
+    if (!listener_.is_valid())
+        return false;
+    watch_ = poller_.add(listener_, {true, false}, [this](socket_events) { accept(); });
+    return true;
+}
+
+void link_proxy::accept() {
+    unique_fd client = accept_from(listener_, patient_silence_limits());
+    if (!client.is_valid())
+        return;
+    unique_fd server = start_connect(to_, patient_silence_limits());
+    if (!server.is_valid()) {
+        reset_on_close(client);
+        return;
+    }
+    const std::uint64_t key = next_++;
+    pipes_.emplace(key, std::make_unique<pipe>(*this, key, std::move(client), std::move(server)));
+}
+
+bool link_proxy::holds(bool to_client) const {
+    return mode_ == link_mode::cut || (mode_ == link_mode::one_way && to_client);
+}
+
+void link_proxy::retire(std::uint64_t key) {
+    auto node = pipes_.extract(key);
+    if (node.empty())
+        return;
+    if (retired_.empty())
+        timers_.schedule_after(duration{0}, [this] { retired_.clear(); });
+    retired_.push_back(std::move(node.mapped()));
+}
+
+void link_proxy::set_mode(link_mode mode, duration delay) {
+    mode_ = mode;
+    delay_ = mode == link_mode::delayed ? delay : duration{0};
+    std::vector<std::uint64_t> keys;
+    for (const auto& [key, it] : pipes_)
+        keys.push_back(key);
+    for (const std::uint64_t key : keys) {
+        if (const auto found = pipes_.find(key); found != pipes_.end())
+            found->second->update();
+    }
+}
+
+void link_proxy::reset_all() {
+    while (!pipes_.empty())
+        pipes_.begin()->second->reset();
+}
+
+void link_proxy::silence_open() {
+    for (const auto& [key, it] : pipes_)
+        it->silence();
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/soak/load.cpp
@@ -0,0 +1,178 @@
+/** @file load.cpp Arrivals, kept connections, replies. */
+#include "load.h"
+
+#include <charconv>
+#include <cmath>
+#include <string_view>
+#include <utility>
+
+#include "net/message_writer.h"
+#include "platform/wire_names.h"
+#include "routes_text.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr message_limits reply_limits{std::size_t{64} * 1024, std::size_t{1024} * 1024};
+constexpr duration patience = std::chrono::seconds{3}; ///< past its time-out, before a caller gives up
+
+std::vector<std::string> split(std::string_view text) {
+    std::vector<std::string> parts;
+    while (!text.empty()) {
+        const auto comma = text.find(',');
+        std::string_view one = text.substr(0, comma);
+        while (one.starts_with(' '))
+            one.remove_prefix(1);
+        if (!one.empty())
+            parts.emplace_back(one);
+        text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
+    }
+    return parts;
+}
+
+duration timeout_of(route_kind kind) {
+    return kind == route_kind::gather ? gather_timeout : single_timeout;
+}
+
+} // namespace
+
+load::load(socket_poller& poller, timer_queue& timers, std::function<std::uint64_t()> random,
+           const soak_world& world, const std::vector<soak_version>& versions,
+           std::function<std::uint32_t()> pick)
+    : poller_{poller}, timers_{timers}, random_{std::move(random)}, world_{world}, versions_{versions},
+      pick_{std::move(pick)} {}
+
+void load::start(double rate) {
+    rate_ = rate;
+    sending_ = true;
+    next_ = timers_.now();
+    schedule();
+}
+
+void load::schedule() {
+    // Exponential gaps: arrivals are independent of each other.
+    constexpr double two_to_53 = 9007199254740993.0;
+    const double uniform = (static_cast<double>(random_() >> 11U) + 1) / two_to_53;
+    constexpr double microseconds = 1e6;
+    next_ += duration{static_cast<duration::rep>(-std::log(uniform) / rate_ * microseconds)};
+    timers_.schedule_at(next_, [this] {
+        if (!sending_)
+            return;
+        send_one();
+        schedule();
+    });
+}
+
+soak_record load::draw() {
+    soak_record it;
+    it.id = "q" + std::to_string(world_.seed) + "x" + std::to_string(records_.size());
+    constexpr std::uint64_t tenths = 10;
+    const std::uint64_t n = random_() % tenths;
+    it.kind = n < 4   ? route_kind::gather
+              : n < 6 ? route_kind::lookup
+              : n < 9 ? route_kind::order
+                      : route_kind::newest;
+    it.node = pick_();
+    it.version = versions_.back().number;
+    it.sent = timers_.now();
+    return it;
+}
+
+outgoing_request load::encode(const soak_record& it) const {
+    request_message message;
+    message.method = it.kind == route_kind::order ? "POST" : "GET";
+    message.target = path_of(it.kind, it.version) + it.id;
+    message.fields = {{"Host", routes_host},
+                      {wire_names::request_id, it.id},
+                      {wire_names::deadline_ms, std::to_string(to_milliseconds(timeout_of(it.kind)))}};
+    outgoing_request out;
+    if (it.kind == route_kind::order)
+        out.body = std::make_shared<const std::string>("order " + it.id);
+    append_request_header(out.header, message, out.body ? out.body->size() : 0);
+    out.header += "\r\n";
+    return out;
+}
+
+void load::send_one() {
+    const std::size_t record = records_.size();
+    records_.push_back(draw());
+    const std::uint32_t node = records_.back().node;
+    if (const auto kept = idle_.find(node); kept != idle_.end()) {
+        const link_key key = kept->second;
+        idle_.erase(kept);
+        send(key, record);
+        return;
+    }
+    open(node, record);
+}
+
+void load::open(std::uint32_t node, std::size_t record) {
+    const link_key key = next_link_++;
+    client_connection_hooks hooks;
+    hooks.connected = [this, key] { send(key, links_.at(key).record); };
+    hooks.replied = [this, key](reply_message reply) { on_reply(key, std::move(reply)); };
+    hooks.ended = [this, key](connection_end) { on_lost(key); };
+    link& it = links_[key];
+    it.connection =
+        std::make_unique<client_connection>(poller_, world_.node_proxy(node), reply_limits, std::move(hooks));
+    it.node = node;
+    it.record = record;
+    if (!it.connection->connect())
+        on_lost(key);
+}
+
+void load::send(link_key key, std::size_t record) {
+    link& it = links_.at(key);
+    it.record = record;
+    const soak_record& sent = records_[record];
+    it.limit = timers_.schedule_at(sent.sent + timeout_of(sent.kind) + patience, [this, key] {
+        links_.at(key).limit.reset();
+        on_lost(key);
+    });
+    it.connection->send(encode(sent));
+}
+
+void load::on_reply(link_key key, reply_message reply) {
+    link& it = links_.at(key);
+    soak_record& record = records_[it.record];
+    record.outcome = soak_outcome::replied;
+    record.ended = timers_.now();
+    record.status = reply.status;
+    const bool is_gather = record.kind == route_kind::gather;
+    record.signatures =
+        split(value_of(reply.fields, is_gather ? wire_names::part_signatures : wire_names::signature));
+    const std::string_view missing = value_of(reply.fields, wire_names::missing_parts);
+    std::from_chars(missing.data(), missing.data() + missing.size(), record.missing);
+    record.body = std::move(reply.body);
+    if (it.limit)
+        timers_.cancel(*std::exchange(it.limit, std::nullopt));
+    if (reply.keep_alive)
+        idle_.emplace(it.node, key);
+    else
+        drop(key);
+}
+
+void load::on_lost(link_key key) {
+    link& it = links_.at(key);
+    soak_record& record = records_[it.record];
+    if (record.outcome == soak_outcome::open) {
+        record.outcome = soak_outcome::lost;
+        record.ended = timers_.now();
+    }
+    drop(key);
+}
+
+void load::drop(link_key key) {
+    auto node = links_.extract(key);
+    link& it = node.mapped();
+    if (it.limit)
+        timers_.cancel(*it.limit);
+    std::erase_if(idle_, [key](const auto& entry) { return entry.second == key; });
+    it.connection->close();
+    if (retired_.empty())
+        timers_.schedule_after(duration{0}, [this] { retired_.clear(); });
+    retired_.push_back(std::move(it.connection));
+}
+
+} // namespace pollengrade
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,168 @@
+/** @file main.cpp One soak run against processes that tools/soak has started. */
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+
+#include <cxxopts.hpp>
+
+#include "fault_player.h"
+#include "load.h"
+#include "operator_client.h"
+#include "readiness.h"
+#include "runtime/glib_ptr.h"
+#include "runtime/loop_clock.h"
+#include "runtime/program_func.h"
+#include "runtime/random_source.h"
+#include "verdict.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr duration settle_time = std::chrono::seconds{3}; ///< from the first version to the first fault
+constexpr duration judged_time = std::chrono::seconds{4}; ///< after the time to recover
+constexpr duration lag_period =
+    std::chrono::milliseconds{50}; ///< between two looks at this program's own lag
+constexpr duration lag_allowed = std::chrono::milliseconds{150}; ///< more disturbs every measure of time
+
+/** The run: load all along, faults for a while, then time to recover. */
+class soak_run {
+public:
+    soak_run(loop_clock& clock, soak_world world, double rate, bool ends_with_kill)
+        : world_{std::move(world)}, timers_{clock.timers()}, random_{seeded_random(world_.seed)},
+          loop_{g_main_loop_new(nullptr, FALSE)}, poller_{clock}, writer_{poller_, timers_, world_},
+          player_{poller_, timers_, world_, writer_}, ready_{poller_, timers_, world_},
+          load_{poller_,
+                timers_,
+                seeded_random(world_.seed + 1),
+                world_,
+                writer_.versions(),
+                [this] { return ready_.pick(random_); }},
+          rate_{rate}, ends_with_kill_{ends_with_kill} {}
+
+    /** @return whether the run could be carried out. */
+    bool play() {
+        if (!player_.start_links())
+            return false;
+        writer_.write({0, 1, 2, 3, 4, 5});
+        ready_.start();
+        watch_lag(timers_.now());
+        wait_for_nodes();
+        g_main_loop_run(loop_.get());
+        return started_;
+    }
+
+    [[nodiscard]] soak_evidence evidence() {
+        soak_evidence it;
+        it.records = load_.records();
+        it.versions = writer_.versions();
+        disturbances_.insert(disturbances_.end(), player_.disturbances().begin(),
+                             player_.disturbances().end());
+        it.disturbances = disturbances_;
+        it.server_disturbances = player_.server_disturbances();
+        it.runs = read_runs(world_.directory, world_.replicas);
+        it.node_exit_codes = read_exit_codes(world_.directory, world_.nodes);
+        it.overdue_stops = player_.overdue_stops();
+        it.last_fault = last_fault_;
+        return it;
+    }
+
+private:
+    void wait_for_nodes() {
+        constexpr duration period = std::chrono::milliseconds{100};
+        constexpr duration limit = std::chrono::seconds{30};
+        if (waited_ >= limit) {
+            g_main_loop_quit(loop_.get());
+            return;
+        }
+        if (ready_.count() < world_.nodes || !writer_.is_settled()) {
+            waited_ += period;
+            timers_.schedule_after(period, [this] { wait_for_nodes(); });
+            return;
+        }
+        started_ = true;
+        load_.start(rate_);
+        timers_.schedule_after(settle_time, [this] { begin_faults(); });
+    }
+
+    void begin_faults() {
+        const std::vector<planned_fault> plan = draw_faults(random_, world_);
+        player_.play(plan);
+        timers_.schedule_after(world_.span, [this] {
+            if (ends_with_kill_)
+                player_.kill_all();
+            last_fault_ = timers_.now();
+            timers_.schedule_after(recovery_limit + judged_time, [this] {
+                load_.stop();
+                timers_.schedule_after(judged_time, [this] { g_main_loop_quit(loop_.get()); });
+            });
+        });
+    }
+
+    /** While this program itself is late, what it measures is not the nodes' doing. */
+    void watch_lag(time_point due) {
+        const time_point now = monotonic_now();
+        if (now - due > lag_allowed) {
+            std::cout << "this program was late by " << to_milliseconds(now - due) << " ms\n";
+            disturbances_.push_back({all_nodes, due, now, false});
+        }
+        timers_.schedule_after(lag_period, [this, next = timers_.now() + lag_period] { watch_lag(next); });
+    }
+
+    soak_world world_;
+    timer_queue& timers_;
+    std::function<std::uint64_t()> random_;
+    gmain_loop_ptr loop_;
+    socket_poller poller_;
+    operator_client writer_;
+    fault_player player_;
+    readiness ready_;
+    load load_;
+    double rate_;
+    bool ends_with_kill_;
+    bool started_ = false;
+    duration waited_{};
+    time_point last_fault_{};
+    std::vector<disturbance> disturbances_; ///< of this program itself
+};
+
+int run(int argc, char** argv) {
+    cxxopts::Options options{"pollengrade_soak", "Load, faults and checks; tools/soak starts it."};
+    options.add_options()("directory", "of process IDs and logs", cxxopts::value<std::string>())(
+        "seed", "of all that is drawn", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "net", "second octet of the addresses", cxxopts::value<std::uint32_t>()->default_value("20"))(
+        "nodes", "nodes that were started", cxxopts::value<std::uint32_t>()->default_value("4"))(
+        "seconds", "how long faults come", cxxopts::value<std::uint32_t>()->default_value("20"))(
+        "rate", "requests a second", cxxopts::value<double>()->default_value("150"));
+    const auto flags = options.parse(argc, argv);
+    soak_world world;
+    world.seed = flags["seed"].as<std::uint64_t>();
+    world.net = flags["net"].as<std::uint32_t>();
+    world.nodes = flags["nodes"].as<std::uint32_t>();
+    world.span = std::chrono::seconds{flags["seconds"].as<std::uint32_t>()};
+    world.directory = flags["directory"].as<std::string>();
+    loop_clock clock;
+    soak_run soak{clock, world, flags["rate"].as<double>(), world.seed % 2 == 0};
+    if (!soak.play()) {
+        std::cout << "the nodes did not become ready\n";
+        return EXIT_FAILURE;
+    }
+    const soak_evidence evidence = soak.evidence();
+    std::size_t served = 0;
+    for (const soak_record& it : evidence.records)
+        served += it.outcome == soak_outcome::replied && it.status == 200 ? 1 : 0; // NOLINT(*-magic-numbers)
+    std::cout << evidence.records.size() << " requests, " << served << " served, " << evidence.runs.size()
+              << " runs at servers, " << evidence.versions.size() << " versions\n";
+    const auto broken = judge(evidence);
+    for (const finding& it : broken)
+        std::cout << "BROKEN " << it.promise << ": " << it.what << "\n";
+    return broken.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace
+
+} // namespace pollengrade
+
+int main(int argc, char** argv) {
+    return pollengrade::run_program("pollengrade_soak", [&] { return pollengrade::run(argc, argv); });
+}
--- /dev/null
+++ b/soak/routes_text.h
@@ -0,0 +1,37 @@
+/** @file routes_text.h The soak's routes, as the operator writes them. */
+#pragma once
+
+#include <string>
+
+#include "platform/wire_names.h"
+#include "soak_type.h"
+#include "json/json_view.h"
+
+namespace pollengrade {
+
+inline constexpr const char* routes_host = "soak.example";
+
+// Services by use: the gather's shards are given by each version.
+inline constexpr std::uint32_t lookup_service = 6;
+inline constexpr std::uint32_t order_service = 7;
+inline constexpr std::uint32_t newest_service = 6;
+
+/** @return the path prefix of a route; only the newest one's depends on the version. */
+[[nodiscard]] inline std::string path_of(route_kind kind, std::uint64_t version) {
+    switch (kind) {
+    case route_kind::gather:
+        return "/gather/";
+    case route_kind::lookup:
+        return "/lookup/";
+    case route_kind::order:
+        return "/order/";
+    case route_kind::newest:
+        break;
+    }
+    return "/v" + std::to_string(version) + "/";
+}
+
+/** @return the object that holds a version. @param revision of the object it replaces; 0 for the first */
+[[nodiscard]] std::string object_of(const soak_version& version, std::uint64_t revision);
+
+} // namespace pollengrade
--- /dev/null
+++ b/soak/verdict.cpp
@@ -0,0 +1,351 @@
+/** @file verdict.cpp One function a promise. */
+#include "verdict.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <functional>
+#include <set>
+#include <sstream>
+#include <utility>
+
+#include "part_func.h"
+#include "routes_text.h"
+
+namespace pollengrade {
+
+namespace {
+
+constexpr unsigned ok = 200;
+constexpr unsigned not_found = 404;
+constexpr std::size_t record_size = 16; ///< bytes of a record in a gather's reply
+
+using findings = std::vector<finding>;
+
+bool promises_not_run(unsigned status) {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::string describe(const soak_record& it) {
+    return it.id + " at node " + std::to_string(it.node + 1) + " on " + path_of(it.kind, it.version) +
+           ": status " + std::to_string(it.status) + " after " +
+           std::to_string(to_milliseconds(it.ended - it.sent)) + " ms";
+}
+
+/** @return whether anything unplanned, or with @p planned also planned, was done to a node in a span. */
+bool is_disturbed(const soak_evidence& all, std::uint32_t node, time_point from, time_point to,
+                  bool planned) {
+    return std::any_of(all.disturbances.begin(), all.disturbances.end(), [&](const disturbance& it) {
+        return (it.node == node || it.node == all_nodes) && (planned || !it.is_planned) && it.from <= to &&
+               it.to >= from;
+    });
+}
+
+bool servers_disturbed(const soak_evidence& all, time_point from, time_point to) {
+    return std::any_of(all.server_disturbances.begin(), all.server_disturbances.end(),
+                       [&](const disturbance& it) { return it.from <= to && it.to >= from; });
+}
+
+/** @return the services that a request may be run by, under any version. */
+bool may_run(const soak_evidence& all, const soak_record& it, const std::string& service) {
+    if (it.kind != route_kind::gather)
+        return service == service_text(it.kind == route_kind::order ? order_service : lookup_service);
+    return std::any_of(all.versions.begin(), all.versions.end(), [&](const soak_version& version) {
+        return std::any_of(version.shards.begin(), version.shards.end(),
+                           [&](std::uint32_t shard) { return service_text(shard) == service; });
+    });
+}
+
+void check_runs(const soak_evidence& all, findings& out) {
+    std::map<std::string, const soak_record*> by_id;
+    for (const soak_record& it : all.records)
+        by_id[it.id] = &it;
+    for (const auto& [id, run] : all.runs) {
+        const auto found = by_id.find(id);
+        const bool is_known = found != by_id.end() &&
+                              run.path == path_of(found->second->kind, found->second->version) + id &&
+                              run.method == (found->second->kind == route_kind::order ? "POST" : "GET");
+        if (!is_known)
+            out.push_back({"unasked", id + " ran as " + run.method + " " + run.path});
+        else if (!may_run(all, *found->second, run.service))
+            out.push_back({"route", describe(*found->second) + " ran at " + run.service});
+    }
+}
+
+void check_orders(const soak_evidence& all, findings& out) {
+    for (const soak_record& it : all.records) {
+        if (it.kind != route_kind::order)
+            continue;
+        const auto runs = all.runs.count(it.id);
+        if (runs > 1)
+            out.push_back({"at most once", describe(it) + ", ran " + std::to_string(runs) + " times"});
+        if (runs > 0 && promises_not_run(it.status))
+            out.push_back({"true refusal", describe(it) + ", ran"});
+    }
+}
+
+/** @return the server's name in a signature that belongs to the request; empty when it does not. */
+std::string service_in(const soak_record& it, const std::string& signature) {
+    if (!signature.starts_with(it.id + "."))
+        return {};
+    const std::string rest = signature.substr(it.id.size() + 1);
+    return rest.substr(0, rest.find('.'));
+}
+
+/** @return what a gather's reply must hold, given its parts. */
+std::string greatest(const soak_record& it, const std::set<std::string>& services) {
+    std::vector<std::string> records;
+    for (const std::string& service : services) {
+        const std::string part = part_of(it.id, service);
+        for (std::size_t n = 0; n + record_size <= part.size(); n += record_size)
+            records.push_back(part.substr(n, record_size));
+    }
+    std::sort(records.begin(), records.end(), std::greater<>{});
+    records.resize(std::min(records.size(), max_records));
+    std::string body;
+    for (const std::string& record : records)
+        body += record;
+    return body;
+}
+
+bool is_set_of(const soak_version& version, const std::set<std::string>& included, std::size_t missing) {
+    std::set<std::string> shards;
+    for (const std::uint32_t it : version.shards)
+        shards.insert(service_text(it));
+    return included.size() + missing == shards.size() &&
+           std::includes(shards.begin(), shards.end(), included.begin(), included.end());
+}
+
+std::set<std::string> services_of(const soak_record& it) {
+    std::set<std::string> included;
+    for (const std::string& signature : it.signatures)
+        included.insert(service_in(it, signature));
+    return included;
+}
+
+void check_answers(const soak_evidence& all, findings& out) {
+    for (const soak_record& it : all.records) {
+        if (it.outcome != soak_outcome::replied || it.status != ok)
+            continue;
+        const std::set<std::string> services = services_of(it);
+        const bool is_own =
+            !services.empty() && !services.contains("") && services.size() == it.signatures.size();
+        if (it.kind != route_kind::gather) {
+            const bool is_whole =
+                is_own && services.size() == 1 && it.body == part_of(it.id, *services.begin());
+            if (!is_whole)
+                out.push_back({"whole answer", describe(it)});
+            continue;
+        }
+        const auto version = std::find_if(all.versions.begin(), all.versions.end(), [&](const auto& one) {
+            return one.sent <= it.ended && is_set_of(one, services, it.missing);
+        });
+        const auto included = static_cast<double>(services.size());
+        const bool has_enough = included >= least_share * (included + static_cast<double>(it.missing));
+        if (!is_own || version == all.versions.end() || !has_enough || it.body != greatest(it, services))
+            out.push_back({"whole gather", describe(it) + ", " + std::to_string(services.size()) +
+                                               " parts, " + std::to_string(it.missing) + " missing"});
+    }
+}
+
+void check_tries(const soak_evidence& all, findings& out) {
+    constexpr std::size_t allowed = 3; ///< requests; servers that ended meanwhile are not told apart
+    std::map<std::pair<std::string, std::string>, std::set<std::string>> servers;
+    for (const auto& [id, run] : all.runs)
+        servers[{id, run.service}].insert(run.server);
+    std::vector<std::string> over;
+    for (const auto& [key, tried] : servers) {
+        if (tried.size() > max_server_tries)
+            over.push_back(key.first + " at " + std::to_string(tried.size()) + " servers of " + key.second);
+    }
+    if (over.size() > allowed)
+        out.push_back({"tries", std::to_string(over.size()) + " requests, the first " + over.front()});
+}
+
+void check_budget(const soak_evidence& all, findings& out) {
+    std::map<std::string, std::vector<std::int64_t>> needed;
+    std::map<std::string, std::vector<std::int64_t>> extra;
+    std::map<std::pair<std::string, std::string>, std::int64_t> first;
+    std::vector<std::pair<std::int64_t, std::pair<std::string, std::string>>> in_order;
+    for (const auto& [id, run] : all.runs)
+        in_order.push_back({run.at_ms, {id, run.service}});
+    std::sort(in_order.begin(), in_order.end());
+    for (const auto& [at, key] : in_order)
+        (first.emplace(key, at).second ? needed : extra)[key.second].push_back(at);
+    const std::int64_t window = to_milliseconds(budget_window);
+    for (const auto& [service, times] : extra) {
+        const auto& base = needed[service];
+        const auto count = [&](const std::vector<std::int64_t>& list, std::int64_t from) {
+            return std::lower_bound(list.begin(), list.end(), from + window) -
+                   std::lower_bound(list.begin(), list.end(), from);
+        };
+        for (const std::int64_t from : times) {
+            // The window itself, the one before, or the one half a window before, whichever has most.
+            const auto most =
+                std::max({count(base, from), count(base, from - window), count(base, from - window / 2)});
+            const double bound = budget_ratio * static_cast<double>(most) + budget_slack;
+            if (static_cast<double>(count(times, from)) > bound) {
+                out.push_back({"budget", service + ": " + std::to_string(count(times, from)) +
+                                             " repeats in 10 s for " + std::to_string(most) + " requests"});
+                break;
+            }
+        }
+    }
+}
+
+void check_held(const soak_evidence& all, findings& out) {
+    for (const soak_record& it : all.records) {
+        const duration timeout = it.kind == route_kind::gather ? gather_timeout : single_timeout;
+        const time_point limit = it.sent + timeout + answer_slack;
+        const bool is_late = it.outcome == soak_outcome::open || it.ended > limit;
+        if (is_late && !is_disturbed(all, it.node, it.sent - contact, limit, false))
+            out.push_back({"in time", describe(it)});
+    }
+}
+
+/** @return the newest version that must be in force at a time at every calm node; 0 for none. */
+std::uint64_t due_version(const soak_evidence& all, time_point at) {
+    std::uint64_t due = 0;
+    for (const soak_version& it : all.versions) {
+        if (it.acknowledged != time_point{} && it.acknowledged + apply_limit <= at)
+            due = it.number;
+    }
+    return due;
+}
+
+void check_versions(const soak_evidence& all, findings& out) {
+    for (const soak_record& it : all.records) {
+        if (it.outcome != soak_outcome::replied ||
+            is_disturbed(all, it.node, it.sent - contact, it.ended, false))
+            continue;
+        const std::uint64_t due = due_version(all, it.sent);
+        if (it.kind == route_kind::newest && it.status == not_found && it.version <= due) {
+            const bool may_be_dropped =
+                std::any_of(all.versions.begin(), all.versions.end(), [&](const soak_version& one) {
+                    return one.number > it.version && one.sent <= it.ended;
+                });
+            if (!may_be_dropped)
+                out.push_back({"version in force", describe(it)});
+        }
+        if (it.kind == route_kind::gather && it.status == ok) {
+            const std::set<std::string> services = services_of(it);
+            const bool is_current =
+                std::any_of(all.versions.begin(), all.versions.end(), [&](const soak_version& one) {
+                    return one.number >= due && is_set_of(one, services, it.missing);
+                });
+            if (!is_current)
+                out.push_back({"version in force", describe(it) + ", due " + std::to_string(due)});
+        }
+    }
+}
+
+void check_regress(const soak_evidence& all, findings& out) {
+    constexpr duration slack = std::chrono::milliseconds{250};
+    constexpr int slowed = 8;                         ///< times the slack at a disturbed node
+    std::map<std::uint32_t, const soak_record*> seen; // The newest version's proof, by node.
+    for (const soak_record& it : all.records) {
+        if (it.kind != route_kind::newest || it.outcome != soak_outcome::replied)
+            continue;
+        const soak_record*& proof = seen[it.node];
+        if (it.status == ok && (proof == nullptr || it.version > proof->version))
+            proof = &it;
+        if (it.status != not_found || proof == nullptr || it.version > proof->version)
+            continue;
+        const bool is_newest = std::none_of(all.versions.begin(), all.versions.end(), [&](const auto& one) {
+            return one.number > it.version && one.sent <= it.ended;
+        });
+        // A process that was started again since may begin with an older version.
+        const bool is_same_process = !is_disturbed(all, it.node, proof->ended - grace, it.ended, true) ||
+                                     !is_disturbed(all, it.node, proof->ended, it.ended, true);
+        if (is_newest && is_same_process && it.sent > proof->ended + slowed * slack)
+            out.push_back({"no way back", describe(it) + ", but " + describe(*proof)});
+    }
+}
+
+void check_planned(const soak_evidence& all, findings& out) {
+    for (const soak_record& it : all.records) {
+        const bool was_passed_on = all.runs.contains(it.id);
+        if (it.outcome != soak_outcome::lost || !was_passed_on || it.ended > it.sent + gather_timeout)
+            continue;
+        const bool is_planned = is_disturbed(all, it.node, it.sent, it.ended, true);
+        if (is_planned && !is_disturbed(all, it.node, it.sent - contact, it.ended, false) &&
+            !servers_disturbed(all, it.sent - contact, it.ended))
+            out.push_back({"nothing lost by a stop", describe(it)});
+    }
+}
+
+void check_exits(const soak_evidence& all, findings& out) {
+    for (const int code : all.node_exit_codes) {
+        constexpr int by_signal = 128; // As a shell tells it.
+        if (code != 0 && code != by_signal + SIGKILL)
+            out.push_back({"no end of its own", "a node ended with code " + std::to_string(code)});
+    }
+    if (all.overdue_stops > 0)
+        out.push_back(
+            {"stop in time", std::to_string(all.overdue_stops) + " nodes ran on after their grace"});
+}
+
+void check_recovery(const soak_evidence& all, findings& out) {
+    constexpr double least_served = 0.9;
+    constexpr std::size_t least_sent = 50;
+    for (const route_kind kind : {route_kind::gather, route_kind::lookup, route_kind::order}) {
+        std::size_t sent = 0;
+        std::size_t served = 0;
+        for (const soak_record& it : all.records) {
+            if (it.kind != kind || it.sent < all.last_fault + recovery_limit)
+                continue;
+            ++sent;
+            served += it.outcome == soak_outcome::replied && it.status == ok ? 1 : 0;
+        }
+        if (sent < least_sent || static_cast<double>(served) < least_served * static_cast<double>(sent))
+            out.push_back({"recovery", path_of(kind, 0) + ": " + std::to_string(served) + " of " +
+                                           std::to_string(sent) + " served"});
+    }
+}
+
+} // namespace
+
+runs_by_request read_runs(const std::string& directory, std::uint32_t replicas) {
+    runs_by_request runs;
+    for (std::uint32_t n = 0; n < replicas; ++n) {
+        std::ifstream in{directory + "/servers-" + std::to_string(n) + ".log"};
+        for (std::string line; std::getline(in, line);) {
+            std::istringstream fields{line};
+            std::string word;
+            std::string id;
+            server_run it;
+            if (fields >> word >> it.at_ms >> id >> it.service >> it.server >> it.method >> it.path &&
+                word == "run")
+                runs.emplace(std::move(id), std::move(it));
+        }
+    }
+    return runs;
+}
+
+std::vector<int> read_exit_codes(const std::string& directory, std::uint32_t nodes) {
+    std::vector<int> codes;
+    for (std::uint32_t n = 1; n <= nodes; ++n) {
+        std::ifstream in{directory + "/node-" + std::to_string(n) + ".exits"};
+        for (int code = 0; in >> code;)
+            codes.push_back(code);
+    }
+    return codes;
+}
+
+std::vector<finding> judge(const soak_evidence& it) {
+    findings out;
+    check_runs(it, out);
+    check_orders(it, out);
+    check_answers(it, out);
+    check_tries(it, out);
+    check_budget(it, out);
+    check_held(it, out);
+    check_versions(it, out);
+    check_regress(it, out);
+    check_planned(it, out);
+    check_exits(it, out);
+    check_recovery(it, out);
+    return out;
+}
+
+} // namespace pollengrade
