Fix: a silent store was noticed half a minute late; peers doubted servers that were there

Cause 1: after a failed call the next was a watch of up to 30 s; a store that takes calls and forgets them looks like one that waits. Now a watch that does not wait comes first, by a limit that grows to 2 s. Cause 2: a node that had heard from a peer that entries lapsed and came back replayed the older removals from its own watch: it doubted the servers, found them equal again, and told peers of the doubt only. They removed all 24. Ruled out: stand-ins' registration (the store held all entries), the store's link. Tests: failed first, with a property test of nodes that watch at their own pace.

--- a/packages/core/cluster/object_feed.cpp
+++ b/packages/core/cluster/object_feed.cpp
@@ -13,6 +13,13 @@
 /** A hundred times the store's usual answer; a store that is slower still is given twice as long each time.
  */
 constexpr duration first_list_limit = std::chrono::milliseconds{500};
+constexpr duration usual_wait = std::chrono::seconds{28}; ///< of a watch; the store allows 30 s
+constexpr duration reply_limit = std::chrono::seconds{2}; ///< past its wait, a watch counts as lost
+
+/** @return how long a watch may take that does not wait. */
+duration proof_limit(std::uint32_t failures) {
+    return std::min<duration>(first_list_limit * (1U << std::min(failures, max_doublings)), reply_limit);
+}
 
 } // namespace
 
@@ -61,7 +68,12 @@
 
 void object_feed::watch() {
     busy_ = true;
-    hooks_.watch(revision_, [this](const tl::expected<object_changes, store_error>& result) {
+    // After a failure the store first shows that it answers: a watch that it took and forgot looks like one
+    // that waits.
+    const bool is_proof = failures_ > 0;
+    const duration wait = is_proof ? duration{0} : usual_wait;
+    const duration limit = is_proof ? proof_limit(failures_) : usual_wait + reply_limit;
+    hooks_.watch(revision_, wait, limit, [this](const tl::expected<object_changes, store_error>& result) {
         const bool is_gone = !result && result.error() == store_error::history_gone;
         hooks_.reached(result.has_value() || is_gone);
         if (is_gone) {
--- a/packages/core/cluster/object_feed.h
+++ b/packages/core/cluster/object_feed.h
@@ -20,7 +20,8 @@
 
     /** Reads all objects, each call within a limit; a cheap read may be some seconds behind. */
     std::function<void(duration limit, bool cheap, listed)> list;
-    std::function<void(object_version, watched)> watch; ///< waits for changes after a revision
+    /** Waits up to a time for changes after a revision; within a limit the call has ended. */
+    std::function<void(object_version, duration wait, duration limit, watched)> watch;
     std::function<void(const object_list&)> replaced;   ///< takes all objects
     std::function<void(const object_changes&)> changed; ///< takes changes
     std::function<void(bool reached)> reached;          ///< sees how each call ended
--- a/packages/core/upstreams/registry.cpp
+++ b/packages/core/upstreams/registry.cpp
@@ -49,6 +49,10 @@
     revision_ = changes.revision;
     for (const object_change& it : changes.changes) {
         changed_at_ = std::max(changed_at_, it.object.version);
+        // A peer may have told already what became of the entry after this change.
+        const auto known = entries_.find(it.object.name);
+        if (known != entries_.end() && it.object.version < known->second.version)
+            continue;
         if (it.removed) {
             remove(it.object.name);
         } else if (const auto* entry = std::get_if<server_entry>(&it.object.content)) {
@@ -135,15 +139,20 @@
 }
 
 void registry::put(const server_entry& entry) {
-    if (const auto pending = doubted_.find(entry.name); pending != doubted_.end()) {
+    const auto pending = doubted_.find(entry.name);
+    const bool was_doubted = pending != doubted_.end();
+    if (was_doubted) {
         timers_.cancel(pending->second);
         doubted_.erase(pending);
     }
     unreadable_.erase(entry.name);
     const auto known = entries_.find(entry.name);
     if (known != entries_.end()) {
-        if (known->second == entry)
+        if (known->second == entry) {
+            if (was_doubted) // Peers may have been told of the doubt.
+                note_change(entry, entry_state::present);
             return;
+        }
         const bool is_restart = known->second.started_ms != entry.started_ms;
         if (is_restart)
             remove_now(entry.name);
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -39,8 +39,9 @@
                   make_membership_hooks()},
       spread_{store, counts, settings.form == interface_form::documents ? document_push_fanout : 0,
               make_spread_hooks()},
-      registry_{clock.timers(), counts, servers, make_registry_hooks()},
-      server_{clock, log, make_peer_hooks()}, address_{settings.peers} {}
+      registry_{clock.timers(), counts, servers, make_registry_hooks()}, server_{clock, log,
+                                                                                 make_peer_hooks()},
+      address_{settings.peers}, is_routed_{settings.form == interface_form::routes} {}
 
 membership_hooks cluster::make_membership_hooks() {
     membership_hooks it;
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -131,8 +131,9 @@
     hooks.list = [this, kind](duration limit, bool cheap, feed_hooks::listed done) {
         platform_.list(kind, limit, cheap, std::move(done));
     };
-    hooks.watch = [this, kind](object_version after, feed_hooks::watched done) {
-        platform_.watch(kind, after, std::move(done));
+    hooks.watch = [this, kind](object_version after, duration wait, duration limit,
+                               feed_hooks::watched done) {
+        platform_.watch(kind, after, wait, limit, std::move(done));
     };
     hooks.replaced = [this, kind](const object_list& list) { on_feed_objects(kind, list); };
     hooks.changed = [this, kind](const object_changes& changes) { on_feed_changes(kind, changes); };
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -19,8 +19,9 @@
 constexpr std::uint64_t mean_gap_ms = 700; ///< between faults, or between series
 constexpr std::uint64_t shortest_ms = 100;
 constexpr std::uint64_t longest_ms = 3000;
-constexpr std::uint64_t series_one_in = 4;  ///< faults that come again soon
-constexpr std::uint64_t most_in_series = 4; ///< times
+constexpr std::uint64_t versions_one_in = 8; ///< besides the fault kinds' own share
+constexpr std::uint64_t series_one_in = 4;   ///< faults that come again soon
+constexpr std::uint64_t most_in_series = 4;  ///< times
 constexpr std::uint64_t series_gap_ms = 600;
 
 } // namespace
@@ -37,7 +38,8 @@
     duration at = draw_ms(mean_gap_ms);
     while (at < world.span) {
         planned_fault it;
-        it.kind = static_cast<fault_kind>(random() % fault_kinds);
+        it.kind = random() % versions_one_in == 0 ? fault_kind::version_written
+                                                  : static_cast<fault_kind>(random() % fault_kinds);
         const bool is_of_servers =
             it.kind >= fault_kind::servers_paused && it.kind <= fault_kind::servers_cut;
         it.target = static_cast<std::uint32_t>(random() % (is_of_servers ? world.replicas : world.nodes));
--- a/soak/link_proxy.cpp
+++ b/soak/link_proxy.cpp
@@ -48,14 +48,16 @@
 
     /** Moves what may move; called when the link's mode has changed as well. */
     void update() {
+        if (silent_)
+            return;
         for (std::size_t n = 0; n < ends_.size(); ++n) {
             if (!flush(n))
                 return;
         }
         for (std::size_t n = 0; n < ends_.size(); ++n) {
             const end& other = ends_[1 - n];
-            const bool wants = !silent_ && !ends_[n].ended && other.held < most_held;
-            ends_[n].watch.set_interest({wants, !ends_[n].chunks.empty() && is_due(n)});
+            if (!ends_[n].ended)
+                ends_[n].watch.set_interest({other.held < most_held, !ends_[n].chunks.empty() && is_due(n)});
         }
     }
 
@@ -69,12 +71,12 @@
         unique_fd fd;
         std::deque<chunk> chunks;
         std::size_t held = 0;
-        bool ended = false; ///< it sends nothing more
+        bool ended = false; ///< it sends nothing more, and is not watched
         socket_watch watch;
     };
 
     [[nodiscard]] bool is_due(std::size_t to) const {
-        return !silent_ && !owner_.holds(to == 0) && ends_[to].chunks.front().due <= owner_.timers_.now();
+        return !owner_.holds(to == 0) && ends_[to].chunks.front().due <= owner_.timers_.now();
     }
 
     void on_events(std::size_t n, socket_events events) {
--- a/tests/core/cluster/feed_test.cpp
+++ b/tests/core/cluster/feed_test.cpp
@@ -2,6 +2,8 @@
  * order. */
 #include <doctest/doctest.h>
 
+#include <array>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -55,8 +57,10 @@
             list_was_cheap.push_back(cheap);
             listing = std::move(done);
         };
-        it.watch = [this](object_version after, feed_hooks::watched done) {
+        it.watch = [this](object_version after, duration wait, duration limit, feed_hooks::watched done) {
             watched_from.push_back(after.value());
+            watch_waits.push_back(wait);
+            watch_limits.push_back(limit);
             watching = std::move(done);
         };
         it.replaced = [this](const object_list& list) { replaced.push_back(list.revision.value()); };
@@ -79,6 +83,8 @@
     std::vector<duration> list_limits;
     std::vector<bool> list_was_cheap;
     std::vector<std::uint64_t> watched_from;
+    std::vector<duration> watch_waits;
+    std::vector<duration> watch_limits;
     std::vector<std::uint64_t> replaced;
     std::vector<std::uint64_t> changed;
     bool reached_now = false;
@@ -162,6 +168,35 @@
     CHECK(it.watched_from.size() >= 4);
 }
 
+TEST_CASE("a store that takes calls and is silent is found to answer again within seconds") {
+    feed_fixture it;
+    it.feed.start();
+    it.answer_list(7);
+    CHECK(it.watch_limits.back() == seconds{30});
+    it.fail_watch(store_error::unavailable);
+    CHECK_FALSE(it.reached_now);
+    // Silent for ten seconds: a call that it takes ends by its limit.
+    const time_point end = it.timers.now() + seconds{10};
+    std::size_t silent = 0;
+    while (it.timers.now() < end) {
+        it.pass(100);
+        if (!it.watching)
+            continue;
+        CHECK(it.watch_waits.back() == duration{0});
+        CHECK(it.watch_limits.back() <= seconds{2});
+        it.pass(to_milliseconds(it.watch_limits.back()));
+        it.fail_watch(store_error::unavailable);
+        REQUIRE(++silent < 20);
+    }
+    CHECK(silent >= 4);
+    it.pass(1600);
+    REQUIRE(it.watching);
+    std::exchange(it.watching, nullptr)(object_changes{object_version{7}, {}});
+    CHECK(it.reached_now);
+    it.pass(0);
+    CHECK(it.watch_limits.back() == seconds{30});
+}
+
 TEST_CASE("a silent store is asked again soon, and a slow one is given ever more time") {
     feed_fixture it;
     it.feed.start();
@@ -213,6 +248,118 @@
     CHECK(it.gone == std::vector<std::string>{"b@1", "c@1"});
 }
 
+TEST_CASE("what a node knew from a peer before its own watch told it makes no peer doubt a server") {
+    // After an outage: the entry lapsed and came back; the node has both from a peer, then its watch brings
+    // both again, with a later revision.
+    const server_entry lapsed = entry_of("a", 3);
+    const server_entry rewritten = entry_of("a", 14);
+    registry_fixture node;
+    registry_fixture peer;
+    node.list(10, {lapsed});
+    peer.list(10, {lapsed});
+    const registry_update both{
+        object_version{20}, false, {{lapsed, entry_state::doubted}, {rewritten, entry_state::present}}};
+    REQUIRE(node.servers.take(both));
+    REQUIRE(peer.servers.take(both));
+    node.servers.on_store_regained();
+    node.servers.apply({object_version{21}, {{object_of(lapsed), true}, {object_of(rewritten), false}}});
+    peer.servers.take(node.servers.update_after(peer.servers.revision()));
+    peer.pass(10'000);
+    node.pass(10'000);
+    CHECK(node.gone.empty());
+    CHECK(peer.gone.empty());
+}
+
+TEST_CASE("a change older than what a peer has told of a server is not believed") {
+    registry_fixture node;
+    node.list(10, {entry_of("a", 3, 1)});
+    REQUIRE(node.servers.take({object_version{20}, false, {{entry_of("a", 14, 2), entry_state::present}}}));
+    node.put.clear();
+    node.gone.clear();
+    node.servers.apply(
+        {object_version{21},
+         {{object_of(entry_of("a", 12, 1)), false}, {object_of(entry_of("a", 14, 2)), false}}});
+    CHECK(node.put.empty());
+    CHECK(node.gone.empty());
+}
+
+TEST_CASE("a doubt that ends well is told to peers that heard of it") {
+    registry_fixture node;
+    registry_fixture peer;
+    node.list(10, {entry_of("a", 3)});
+    peer.list(10, {entry_of("a", 3)});
+    node.servers.on_store_regained();
+    node.change(11, entry_of("a", 3), true);
+    peer.servers.take(node.servers.update_after(object_version{10}));
+    // A list that is later shows the same entry: the word of its removal was wrong.
+    node.list(12, {entry_of("a", 3)});
+    peer.servers.take(node.servers.update_after(peer.servers.revision()));
+    peer.pass(10'000);
+    CHECK(peer.gone.empty());
+}
+
+TEST_CASE("nodes that watch the store at their own pace and tell each other end with the same servers") {
+    // A watch may bring again, and later, what a node has already heard from a peer.
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        const auto random = seeded_random(seed);
+        std::array<registry_fixture, 3> nodes;
+        std::array<std::size_t, 3> read{};
+        std::map<std::string, server_entry> store;
+        std::vector<object_change> events;
+        std::uint64_t revision = 1;
+        for (registry_fixture& it : nodes)
+            it.list(revision, {});
+        const auto watch = [&](std::size_t n) {
+            const object_changes news{
+                object_version{revision},
+                {events.begin() + static_cast<std::ptrdiff_t>(read.at(n)), events.end()}};
+            read.at(n) = events.size();
+            nodes.at(n).servers.apply(news);
+        };
+        for (int step = 0; step < 300; ++step) {
+            const std::string name(1, static_cast<char>('a' + random() % 8));
+            registry_fixture& node = nodes.at(random() % nodes.size());
+            registry_fixture& other = nodes.at(random() % nodes.size());
+            switch (random() % 7) {
+            case 0:
+                ++revision;
+                if (const auto gone = store.extract(name); !gone.empty())
+                    events.push_back({object_of(gone.mapped()), true});
+                break;
+            case 1:
+                node.servers.on_store_regained();
+                break;
+            case 2:
+                node.pass(static_cast<std::int64_t>(random() % 3000));
+                break;
+            case 3:
+            case 4:
+                other.servers.take(node.servers.update_after(other.servers.revision()));
+                break;
+            case 5:
+                watch(random() % nodes.size());
+                break;
+            default:
+                ++revision;
+                store[name] = entry_of(name, revision, static_cast<std::int64_t>(1 + random() % 3));
+                events.push_back({object_of(store[name]), false});
+                break;
+            }
+        }
+        ++revision;
+        store["last"] = entry_of("last", revision);
+        events.push_back({object_of(store["last"]), false});
+        watch(0);
+        nodes[1].servers.take(nodes[0].servers.update_after(nodes[1].servers.revision()));
+        nodes[2].servers.take(nodes[1].servers.update_after(nodes[2].servers.revision()));
+        for (registry_fixture& it : nodes) {
+            it.pass(3000);
+            CHECK(it.servers.entries() == store);
+        }
+    }
+}
+
 TEST_CASE("nodes that tell each other what has changed end with the same servers, whatever the store does") {
     // One node is fed by the store, two others only by each other and by it, at any times.
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
