Fix: stand-in servers kept connections that nodes had closed; the soak's switches reach a paused stand-in

Ruled out: nodes (each had one open connection a server). Change: the stand-in looks for ends itself ten times a second; a switch that stays unanswered is sent again.

--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -16,7 +16,8 @@
 constexpr duration restart_time =
     std::chrono::seconds{2}; ///< for a process to be started again by its keeper
 constexpr duration link_delay = std::chrono::milliseconds{60};
-constexpr duration exit_slack = std::chrono::seconds{1}; ///< past the grace, before a stop is overdue
+constexpr duration call_pause = std::chrono::milliseconds{100}; ///< before a call is made again
+constexpr duration exit_slack = std::chrono::seconds{1};        ///< past the grace, before a stop is overdue
 
 std::string node_process(std::uint32_t node) {
     return "node-" + std::to_string(node + 1);
@@ -266,8 +267,11 @@
     client_connection_hooks hooks;
     hooks.connected = [this, place, out] { calls_[place]->send(out); };
     hooks.replied = [](const reply_message&) {};
-    // A stand-in that is gone begins anew without its fault.
-    hooks.ended = [](connection_end) {};
+    hooks.ended = [this, address, path](connection_end why) {
+        // A stand-in that is gone begins anew without its fault; one that is paused takes calls later.
+        if (why == connection_end::silent)
+            timers_.schedule_after(call_pause, [this, address, path] { call(address, path); });
+    };
     calls_.push_back(std::make_unique<client_connection>(poller_, address, reply_limits, std::move(hooks)));
     if (!calls_[place]->connect())
         std::cout << address << path << " is not reached\n";
--- a/standins/upstream_server.cpp
+++ b/standins/upstream_server.cpp
@@ -2,13 +2,16 @@
 #include "upstream_server.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cmath>
 #include <cstdio>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include "core/base/id_type.h"
 #include "http/header_names.h"
@@ -22,8 +25,9 @@
 
 namespace {
 
-constexpr std::uint32_t cold_factor = 5;  ///< how much slower a cold server is
-constexpr std::uint64_t per_mille = 1000; ///< for shares
+constexpr duration sweep_period = std::chrono::milliseconds{100}; ///< between two looks at who has left
+constexpr std::uint32_t cold_factor = 5;                          ///< how much slower a cold server is
+constexpr std::uint64_t per_mille = 1000;                         ///< for shares
 
 std::string header(SoupServerMessage* message, const char* name) {
     const char* it = soup_message_headers_get_one(soup_server_message_get_request_headers(message), name);
@@ -107,12 +111,14 @@
         return false;
     g_signal_connect(listener_.get(), "incoming", G_CALLBACK(&upstream_server::on_incoming), this);
     g_socket_service_start(listener_.get());
+    close_ended_connections();
     return true;
 }
 
 void upstream_server::stop() {
     if (!listener_)
         return;
+    clock_.timers().cancel(sweep_);
     g_socket_service_stop(listener_.get());
     g_socket_listener_close(G_SOCKET_LISTENER(listener_.get()));
     listener_.reset();
@@ -132,6 +138,23 @@
     ++epoch_;
 }
 
+void upstream_server::close_ended_connections() {
+    std::vector<GObject*> ended;
+    for (GObject* it : open_) {
+        const int fd = g_socket_get_fd(g_socket_connection_get_socket(G_SOCKET_CONNECTION(it)));
+        char byte = 0;
+        const ssize_t n = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (n == 0 || (n < 0 && errno != EAGAIN))
+            ended.push_back(it);
+    }
+    for (GObject* it : ended) {
+        open_.erase(it);
+        g_object_weak_unref(it, &upstream_server::on_connection_gone, this);
+        g_io_stream_close(G_IO_STREAM(it), nullptr, nullptr);
+    }
+    sweep_ = clock_.timers().schedule_after(sweep_period, [this] { close_ended_connections(); });
+}
+
 gboolean upstream_server::on_incoming(GSocketService*, GSocketConnection* connection, GObject*,
                                       gpointer self) {
     auto* it = static_cast<upstream_server*>(self);
--- a/standins/upstream_server.h
+++ b/standins/upstream_server.h
@@ -91,6 +91,8 @@
     static void on_request(SoupServer* server, SoupServerMessage* message, const char* path,
                            GHashTable* query, gpointer self);
     static void on_finished(SoupServerMessage* message, gpointer data);
+    /** Closes what its client has closed: the library does not always. */
+    void close_ended_connections();
     void accept(GSocketConnection* connection);
     void take(SoupServerMessage* message, const std::string& path, GHashTable* query);
     void take_forwarded(SoupServerMessage* message);
@@ -121,6 +123,7 @@
     std::uint32_t epoch_ = 0;                       ///< rises when open connections fall silent
     std::deque<std::shared_ptr<work>> waiting_;     ///< requests without a slot
     std::uint32_t running_ = 0;                     ///< slots taken
+    timer_id sweep_{};                              ///< the next close_ended_connections()
 };
 
 } // namespace pollengrade
