--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -111,9 +111,9 @@
     // The cluster is made after the front: its hooks are looked up with each call.
     delegation_hooks it;
     it.open = [this](delegation_call id, const node_address& to, duration limit,
-                     std::function<delegated_request()> shown,
+                     const std::function<delegated_request()>& shown,
                      std::function<void(std::optional<delegated_answer>)> done) {
-        cluster_.calls().forward(id, to, limit, std::move(shown), std::move(done));
+        cluster_.calls().forward(id, to, limit, shown, std::move(done));
     };
     it.cancel = [this](delegation_call id) { cluster_.calls().cancel(id); };
     it.domain_of = [this](const node_address& at) { return cluster_.nodes().domain_of(at); };
