--- a/packages/core/upstreams/dispatcher.cpp
+++ b/packages/core/upstreams/dispatcher.cpp
@@ -1,4 +1,4 @@
-/** @file dispatcher.cpp Sending within limits, and what results say of servers. */
+/** @file dispatcher.cpp Servers, the choice among them, and attempts from submission to withdrawal. */
 #include "core/upstreams/dispatcher.h"
 
 #include <algorithm>
@@ -9,14 +9,10 @@
 
 namespace {
 
-constexpr duration connect_limit = std::chrono::seconds{1}; ///< then a connection counts as failed
-constexpr duration silence_check_period = std::chrono::milliseconds{50}; ///< while requests are in flight
 constexpr duration unknown_usual =
     std::chrono::milliseconds{100}; ///< limit of a usual reply before any is known
 constexpr double usual_quantile =
     0.9; ///< of good replies: with servers that pause, a later one still counts them
-constexpr duration unused_time = std::chrono::seconds{3}; ///< after which a connection not kept is closed
-constexpr duration unused_check_period = std::chrono::seconds{1}; ///< between two looks for such connections
 constexpr duration give_up_margin =
     std::chrono::milliseconds{200};                           ///< past the deadline, for a withdrawn request
 constexpr duration longest_give_up = std::chrono::seconds{1}; ///< for a withdrawn request's end
@@ -56,23 +52,8 @@
         keep_connected(identity.id);
         serve_sets_of(identity.id);
     }
-    if (!limits.keep_open && !unused_check_)
-        unused_check_ = timers_.schedule_after(unused_check_period, [this] { close_unused(); });
-}
-
-void dispatcher::close_unused() {
-    unused_check_.reset();
-    const time_point limit = timers_.now() - unused_time;
-    bool any = false;
-    for (auto& [id, server] : upstreams_) {
-        if (server.limits().keep_open)
-            continue;
-        any = true;
-        for (const connection_id it : server.unused_since(limit))
-            drop_connection(server, it);
-    }
-    if (any)
-        unused_check_ = timers_.schedule_after(unused_check_period, [this] { close_unused(); });
+    if (!limits.keep_open)
+        arm_unused_check();
 }
 
 void dispatcher::remove_server(const upstream_id& id) {
@@ -254,184 +235,6 @@
     arm_silence_check();
 }
 
-void dispatcher::connect(upstream& server) {
-    const connection_id id{next_connection_++};
-    const time_point now = timers_.now();
-    server.on_connecting(id, now);
-    owners_[id] = server.id();
-    ++counts_.counter("connections_opened");
-    connect_limits_[id] = timers_.schedule_after(connect_limit, [this, id] {
-        connect_limits_.erase(id);
-        hooks_.close(id);
-        on_connection_ended(id, connection_end::silent, send_state::not_connected);
-    });
-    if (!hooks_.open(id, server.address()))
-        on_connection_ended(id, connection_end::reset, send_state::not_connected);
-}
-
-void dispatcher::connect_for(const attempt_request& request) {
-    const replica_set* set = set_of(request.set);
-    const time_point now = timers_.now();
-    upstream* best = nullptr;
-    for (const upstream_id& id : set->members) {
-        upstream* server = at(id);
-        if (server == nullptr || server->condition(now) != upstream_condition::ready)
-            continue;
-        if (server->is_connecting())
-            return; // One is on its way.
-        if (!server->may_connect(now))
-            continue;
-        const bool is_better = best == nullptr || server->open_connections() < best->open_connections() ||
-                               (server->identity().domain == domain_ && best->identity().domain != domain_);
-        if (is_better)
-            best = server;
-    }
-    if (best != nullptr)
-        connect(*best);
-}
-
-void dispatcher::keep_connected(const upstream_id& id) {
-    upstream* server = at(id);
-    if (server == nullptr || server->is_leaving() || server->is_connecting() || reconnects_.contains(id) ||
-        !server->limits().keep_open)
-        return;
-    const time_point now = timers_.now();
-    const bool has_one =
-        server->open_connections() > 0 && server->condition(now) != upstream_condition::silent;
-    if (has_one)
-        return;
-    if (server->may_connect(now)) {
-        connect(*server);
-        return;
-    }
-    const time_point when = std::max(server->standing().connect_after(), now + silence_check_period);
-    reconnects_[id] = timers_.schedule_at(when, [this, id] {
-        reconnects_.erase(id);
-        keep_connected(id);
-    });
-}
-
-void dispatcher::drop_connection(upstream& server, connection_id id) {
-    server.on_connection_gone(id);
-    owners_.erase(id);
-    hooks_.close(id);
-}
-
-void dispatcher::on_connected(connection_id id) {
-    const auto owner = owners_.find(id);
-    if (owner == owners_.end())
-        return;
-    if (const auto limit = connect_limits_.find(id); limit != connect_limits_.end()) {
-        timers_.cancel(limit->second);
-        connect_limits_.erase(limit);
-    }
-    const upstream_id server_id = owner->second;
-    upstream& server = upstreams_.at(server_id);
-    const time_point now = timers_.now();
-    server.on_connected(id, now);
-    // Requests on older connections may wait for an end that never comes: they are no sign any more.
-    server.excuse_flights(now);
-    if (server.standing().on_connected())
-        log_.record(event_kind::upstream_reachable, {}, server_id.value(),
-                    {{event_key::address, server.address().value()}});
-    if (server.is_leaving()) {
-        drop_connection(server, id);
-        forget_if_done(server_id);
-        return;
-    }
-    serve_sets_of(server_id);
-}
-
-void dispatcher::on_connect_failed(upstream& server, connection_end why) {
-    ++counts_.counter("connects_failed", to_string(why));
-    if (server.standing().on_connect_failed(timers_.now()))
-        log_.record(event_kind::upstream_unreachable, {}, server.id().value(),
-                    {{event_key::address, server.address().value()}, {event_key::cause, to_string(why)}});
-}
-
-void dispatcher::on_connection_ended(connection_id id, connection_end why, send_state state) {
-    const auto owner = owners_.find(id);
-    if (owner == owners_.end())
-        return;
-    const upstream_id server_id = owner->second;
-    owners_.erase(owner);
-    upstream& server = upstreams_.at(server_id);
-    const bool was_connecting = state == send_state::not_connected;
-    if (const auto limit = connect_limits_.find(id); limit != connect_limits_.end()) {
-        timers_.cancel(limit->second);
-        connect_limits_.erase(limit);
-    }
-    const request_in_flight* flight = server.flight_on(id);
-    const std::optional<attempt_id> cut = flight == nullptr ? std::nullopt : std::optional{flight->attempt};
-    // One that ends before it was of any use counts like one that never came about: a server that takes no
-    // more connections ends them so. One that goes silent shows that nothing answers there any more.
-    const bool is_useless = !cut && !server.has_served(id);
-    server.on_connection_gone(id);
-    ++counts_.counter("connections_ended", to_string(why));
-    if (was_connecting || is_useless || why == connection_end::silent)
-        on_connect_failed(server, why);
-    if (cut) {
-        const bool is_unsent = state == send_state::not_connected || state == send_state::nothing_written;
-        attempt_error code = is_unsent ? attempt_error::not_sent : attempt_error::connection_lost;
-        if (why == connection_end::unreadable)
-            code = attempt_error::malformed;
-        note_result(server, attempts_.at(*cut), tl::unexpected{attempt_failure{code, {}}});
-        keep_connected(server_id);
-        serve_sets_of(server_id);
-        finish(*cut, state, tl::unexpected{attempt_failure{code, {}}});
-    } else {
-        keep_connected(server_id);
-        serve_sets_of(server_id);
-    }
-    forget_if_done(server_id);
-}
-
-void dispatcher::on_answered(connection_id id, attempt_result result, bool kept, duration idle_limit) {
-    const auto owner = owners_.find(id);
-    if (owner == owners_.end()) {
-        ++counts_.counter("late_results_dropped");
-        return;
-    }
-    const upstream_id server_id = owner->second;
-    upstream& server = upstreams_.at(server_id);
-    const request_in_flight* flight = server.flight_on(id);
-    assert(flight != nullptr);
-    const attempt_id answered = flight->attempt;
-    note_result(server, attempts_.at(answered), result);
-    // A reply to another request means that this connection's replies are out of step.
-    const bool in_step = result || result.error().code != attempt_error::wrong_request;
-    if (!kept || !in_step || server.is_leaving()) {
-        if (kept)
-            hooks_.close(id);
-        else
-            ++counts_.counter("connections_ended", to_string(connection_end::not_kept));
-        owners_.erase(id);
-        server.on_connection_gone(id);
-        keep_connected(server_id);
-    } else {
-        server.on_answered(id, timers_.now(), idle_limit);
-    }
-    serve_sets_of(server_id);
-    finish(answered, send_state::reply_begun, std::move(result));
-    forget_if_done(server_id);
-}
-
-void dispatcher::finish(attempt_id id, send_state state, attempt_result result) {
-    const auto node = attempts_.extract(id);
-    if (node.empty())
-        return;
-    const attempt& it = node.mapped();
-    if (it.give_up)
-        timers_.cancel(*it.give_up);
-    if (!it.done) {
-        ++counts_.counter("late_results_dropped");
-        return;
-    }
-    --wanted_;
-    const duration took = it.server.value().empty() ? duration{0} : timers_.now() - it.sent_at;
-    it.done({id, it.server, state, took, std::move(result)});
-}
-
 void dispatcher::serve_sets_of(const upstream_id& id) {
     const auto it = sets_of_.find(id);
     if (it == sets_of_.end())
@@ -532,114 +335,4 @@
     return flight != nullptr && attempts_.at(flight->attempt).done != nullptr;
 }
 
-void dispatcher::note_result(upstream& server, const attempt& sent, const attempt_result& result) {
-    const time_point now = timers_.now();
-    const duration took = now - sent.sent_at;
-    if (result) {
-        constexpr double median = 0.5;
-        constexpr unsigned least_server_error = 500;
-        const auto* forwarded = std::get_if<forwarded_reply>(&*result);
-        if (forwarded != nullptr && forwarded->message.status >= least_server_error) {
-            note_failure(server, "server_error");
-            return;
-        }
-        const bool was_doubtful = server.standing().is_doubtful(now);
-        server.standing().on_reply(now, sent.sent_at, took,
-                                   usual_time(sent.request.work, median).value_or(duration{0}));
-        // What slow servers take is not what is usual.
-        if (!server.standing().is_slow())
-            profiles_[sent.request.work].add(took);
-        if (server.standing().is_doubtful(now) != was_doubtful) {
-            log_.record(was_doubtful ? event_kind::upstream_cleared : event_kind::upstream_suspected, {},
-                        server.id().value(), {{event_key::cause, "slow"}, {event_key::took_ms, took}});
-        }
-        if (const auto* own = std::get_if<shard_reply>(&*result)) {
-            server.mark_live(own->server_incarnation);
-            if (own->server_draining)
-                note_leaving(server.id(), own->server_incarnation);
-        }
-        return;
-    }
-    const attempt_failure& failure = result.error();
-    ++counts_.counter("attempt_failures", to_string(failure.code));
-    switch (failure.code) {
-    case attempt_error::shed:
-        server.standing().on_shed(now, failure.retry_after);
-        break;
-    case attempt_error::draining:
-    case attempt_error::wrong_server: // Its address is another's now; the entry that says otherwise is old.
-        note_leaving(server.id(), server.incarnation());
-        break;
-    case attempt_error::not_sent:
-    case attempt_error::version_absent:
-    case attempt_error::refused:
-    case attempt_error::cancelled:
-        break;
-    default:
-        note_failure(server, to_string(failure.code));
-        break;
-    }
-}
-
-void dispatcher::note_failure(upstream& server, std::string_view cause) {
-    const time_point now = timers_.now();
-    const bool was_doubtful = server.standing().is_doubtful(now);
-    server.standing().on_failure(now);
-    if (!was_doubtful && server.standing().is_doubtful(now))
-        log_.record(event_kind::upstream_suspected, {}, server.id().value(), {{event_key::cause, cause}});
-}
-
-void dispatcher::arm_silence_check() {
-    if (!silence_check_)
-        silence_check_ = timers_.schedule_after(silence_check_period, [this] { look_for_silence(); });
-}
-
-void dispatcher::look_for_silence() {
-    silence_check_.reset();
-    const time_point now = timers_.now();
-    bool any_flights = false;
-    std::vector<std::pair<upstream_id, std::vector<request_in_flight>>> silent;
-    for (auto& [id, server] : upstreams_) {
-        any_flights = any_flights || server.in_flight() > 0;
-        if (auto flights = server.take_silent_flights(now); !flights.empty())
-            silent.emplace_back(id, std::move(flights));
-    }
-    for (const auto& [id, flights] : silent)
-        test_silent_server(id, flights);
-    if (any_flights)
-        arm_silence_check();
-}
-
-void dispatcher::test_silent_server(const upstream_id& id, std::span<const request_in_flight> flights) {
-    upstream* server = at(id);
-    if (server == nullptr)
-        return;
-    note_failure(*server, "silent");
-    // Its other connections may have gone silent with this one: a new one tells.
-    for (const connection_id it : server->idle_connections())
-        drop_connection(*server, it);
-    const bool has_room = server->may_connect(timers_.now());
-    for (const request_in_flight& it : flights) {
-        const auto found = attempts_.find(it.attempt);
-        const bool is_wanted = found != attempts_.end() && found->second.done;
-        if (!is_wanted && !has_room)
-            abort_attempt(it.attempt); // May be the last that was known of a leaving server.
-    }
-    keep_connected(id);
-}
-
-void dispatcher::forget_if_done(const upstream_id& id) {
-    const auto it = upstreams_.find(id);
-    if (it == upstreams_.end() || sets_of_.contains(id) || !it->second.is_leaving())
-        return;
-    if (it->second.in_flight() > 0 || it->second.open_connections() > 0 || it->second.is_connecting())
-        return;
-    log_.record(event_kind::upstream_removed, {}, id.value());
-    if (const auto pending = reconnects_.find(id); pending != reconnects_.end()) {
-        timers_.cancel(pending->second);
-        reconnects_.erase(pending);
-    }
-    upstreams_.erase(it);
-}
-
 } // namespace pollengrade
--- a/packages/core/upstreams/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -139,6 +139,7 @@
     void note_result(upstream& server, const attempt& sent, const attempt_result& result);
     void note_failure(upstream& server, std::string_view cause);
     void close_unused();
+    void arm_unused_check();
     void look_for_silence();
     void test_silent_server(const upstream_id& id, std::span<const request_in_flight> flights);
     void abort_attempt(attempt_id id);
--- /dev/null
+++ b/packages/core/upstreams/dispatcher_connections.cpp
@@ -0,0 +1,183 @@
+/** @file dispatcher_connections.cpp Connections that the dispatcher opens, keeps and closes. */
+#include "core/upstreams/dispatcher.h"
+
+#include <algorithm>
+
+namespace pollengrade {
+
+namespace {
+
+constexpr duration connect_limit = std::chrono::seconds{1};         ///< then a connection counts as failed
+constexpr duration reconnect_pause = std::chrono::milliseconds{50}; ///< at least, before another try
+constexpr duration unused_time = std::chrono::seconds{3}; ///< after which a connection not kept is closed
+constexpr duration unused_check_period = std::chrono::seconds{1}; ///< between two looks for such connections
+
+} // namespace
+
+void dispatcher::close_unused() {
+    unused_check_.reset();
+    const time_point limit = timers_.now() - unused_time;
+    bool any = false;
+    for (auto& [id, server] : upstreams_) {
+        if (server.limits().keep_open)
+            continue;
+        any = true;
+        for (const connection_id it : server.unused_since(limit))
+            drop_connection(server, it);
+    }
+    if (any)
+        arm_unused_check();
+}
+
+void dispatcher::arm_unused_check() {
+    if (!unused_check_)
+        unused_check_ = timers_.schedule_after(unused_check_period, [this] { close_unused(); });
+}
+
+void dispatcher::connect(upstream& server) {
+    const connection_id id{next_connection_++};
+    const time_point now = timers_.now();
+    server.on_connecting(id, now);
+    owners_[id] = server.id();
+    ++counts_.counter("connections_opened");
+    connect_limits_[id] = timers_.schedule_after(connect_limit, [this, id] {
+        connect_limits_.erase(id);
+        hooks_.close(id);
+        on_connection_ended(id, connection_end::silent, send_state::not_connected);
+    });
+    if (!hooks_.open(id, server.address()))
+        on_connection_ended(id, connection_end::reset, send_state::not_connected);
+}
+
+void dispatcher::connect_for(const attempt_request& request) {
+    const replica_set* set = set_of(request.set);
+    const time_point now = timers_.now();
+    upstream* best = nullptr;
+    for (const upstream_id& id : set->members) {
+        upstream* server = at(id);
+        if (server == nullptr || server->condition(now) != upstream_condition::ready)
+            continue;
+        if (server->is_connecting())
+            return; // One is on its way.
+        if (!server->may_connect(now))
+            continue;
+        const bool is_better = best == nullptr || server->open_connections() < best->open_connections() ||
+                               (server->identity().domain == domain_ && best->identity().domain != domain_);
+        if (is_better)
+            best = server;
+    }
+    if (best != nullptr)
+        connect(*best);
+}
+
+void dispatcher::keep_connected(const upstream_id& id) {
+    upstream* server = at(id);
+    if (server == nullptr || server->is_leaving() || server->is_connecting() || reconnects_.contains(id) ||
+        !server->limits().keep_open)
+        return;
+    const time_point now = timers_.now();
+    const bool has_one =
+        server->open_connections() > 0 && server->condition(now) != upstream_condition::silent;
+    if (has_one)
+        return;
+    if (server->may_connect(now)) {
+        connect(*server);
+        return;
+    }
+    const time_point when = std::max(server->standing().connect_after(), now + reconnect_pause);
+    reconnects_[id] = timers_.schedule_at(when, [this, id] {
+        reconnects_.erase(id);
+        keep_connected(id);
+    });
+}
+
+void dispatcher::drop_connection(upstream& server, connection_id id) {
+    server.on_connection_gone(id);
+    owners_.erase(id);
+    hooks_.close(id);
+}
+
+void dispatcher::on_connected(connection_id id) {
+    const auto owner = owners_.find(id);
+    if (owner == owners_.end())
+        return;
+    if (const auto limit = connect_limits_.find(id); limit != connect_limits_.end()) {
+        timers_.cancel(limit->second);
+        connect_limits_.erase(limit);
+    }
+    const upstream_id server_id = owner->second;
+    upstream& server = upstreams_.at(server_id);
+    const time_point now = timers_.now();
+    server.on_connected(id, now);
+    // Requests on older connections may wait for an end that never comes: they are no sign any more.
+    server.excuse_flights(now);
+    if (server.standing().on_connected())
+        log_.record(event_kind::upstream_reachable, {}, server_id.value(),
+                    {{event_key::address, server.address().value()}});
+    if (server.is_leaving()) {
+        drop_connection(server, id);
+        forget_if_done(server_id);
+        return;
+    }
+    serve_sets_of(server_id);
+}
+
+void dispatcher::on_connect_failed(upstream& server, connection_end why) {
+    ++counts_.counter("connects_failed", to_string(why));
+    if (server.standing().on_connect_failed(timers_.now()))
+        log_.record(event_kind::upstream_unreachable, {}, server.id().value(),
+                    {{event_key::address, server.address().value()}, {event_key::cause, to_string(why)}});
+}
+
+void dispatcher::on_connection_ended(connection_id id, connection_end why, send_state state) {
+    const auto owner = owners_.find(id);
+    if (owner == owners_.end())
+        return;
+    const upstream_id server_id = owner->second;
+    owners_.erase(owner);
+    upstream& server = upstreams_.at(server_id);
+    const bool was_connecting = state == send_state::not_connected;
+    if (const auto limit = connect_limits_.find(id); limit != connect_limits_.end()) {
+        timers_.cancel(limit->second);
+        connect_limits_.erase(limit);
+    }
+    const request_in_flight* flight = server.flight_on(id);
+    const std::optional<attempt_id> cut = flight == nullptr ? std::nullopt : std::optional{flight->attempt};
+    // One that ends before it was of any use counts like one that never came about: a server that takes no
+    // more connections ends them so. One that goes silent shows that nothing answers there any more.
+    const bool is_useless = !cut && !server.has_served(id);
+    server.on_connection_gone(id);
+    ++counts_.counter("connections_ended", to_string(why));
+    if (was_connecting || is_useless || why == connection_end::silent)
+        on_connect_failed(server, why);
+    if (cut) {
+        const bool is_unsent = state == send_state::not_connected || state == send_state::nothing_written;
+        attempt_error code = is_unsent ? attempt_error::not_sent : attempt_error::connection_lost;
+        if (why == connection_end::unreadable)
+            code = attempt_error::malformed;
+        note_result(server, attempts_.at(*cut), tl::unexpected{attempt_failure{code, {}}});
+        keep_connected(server_id);
+        serve_sets_of(server_id);
+        finish(*cut, state, tl::unexpected{attempt_failure{code, {}}});
+    } else {
+        keep_connected(server_id);
+        serve_sets_of(server_id);
+    }
+    forget_if_done(server_id);
+}
+
+void dispatcher::forget_if_done(const upstream_id& id) {
+    const auto it = upstreams_.find(id);
+    if (it == upstreams_.end() || sets_of_.contains(id) || !it->second.is_leaving())
+        return;
+    if (it->second.in_flight() > 0 || it->second.open_connections() > 0 || it->second.is_connecting())
+        return;
+    log_.record(event_kind::upstream_removed, {}, id.value());
+    if (const auto pending = reconnects_.find(id); pending != reconnects_.end()) {
+        timers_.cancel(pending->second);
+        reconnects_.erase(pending);
+    }
+    upstreams_.erase(it);
+}
+
+} // namespace pollengrade
