Fix: a store that forgets every node's watch is noticed by one of them soon

Cause: a change ends the watches of all nodes at once, and each started the next with the same wait of 28 s. They stayed in step, so if the store forgot them all, no node asked again for up to 30 s, and no peer was ahead to tell of a change. Ruled out: shorter waits (the six store calls a node and minute of two feeds would be passed); asking peers (none knows more). Change: the wait that follows a change, a list or a proof is drawn between 1 and 28 s; the waits after it are 28 s again. The ends of the fleet's watches are spread over the time of one wait. Test: 71 nodes woken by one change; at 100 moments, one asks again within 3 s. Before: 100 of 100 moments failed. A second test bounds the calls of a quiet feed to three a minute. A test asked for a limit of exactly 30 s on the first watch; it now asks that the limit is the wait and 2 s, the wait 1 to 28 s, and that the watch after an empty one has 30 s: as strict, on the drawn wait.

--- a/packages/core/cluster/object_feed.cpp
+++ b/packages/core/cluster/object_feed.cpp
@@ -14,6 +14,7 @@
  */
 constexpr duration first_list_limit = std::chrono::milliseconds{500};
 constexpr duration usual_wait = std::chrono::seconds{28}; ///< of a watch; the store allows 30 s
+constexpr duration least_wait = std::chrono::seconds{1};  ///< of a watch that is to wait at all
 constexpr duration reply_limit = std::chrono::seconds{2}; ///< past its wait, a watch counts as lost
 
 /** @return how long a watch may take that does not wait. */
@@ -61,6 +62,7 @@
         revision_ = result->revision;
         listed_ = true;
         current_ = true;
+        in_step_ = true;
         hooks_.replaced(*result);
         advance();
     });
@@ -71,29 +73,38 @@
     // After a failure the store first shows that it answers: a watch that it took and forgot looks like one
     // that waits.
     const bool is_proof = failures_ > 0;
-    const duration wait = is_proof ? duration{0} : usual_wait;
-    const duration limit = is_proof ? proof_limit(failures_) : usual_wait + reply_limit;
-    hooks_.watch(revision_, wait, limit, [this](const tl::expected<object_changes, store_error>& result) {
-        const bool is_gone = !result && result.error() == store_error::history_gone;
-        hooks_.reached(result.has_value() || is_gone);
-        if (is_gone) {
-            // Changes were missed: only a list tells what is there now.
-            busy_ = false;
-            current_ = false;
-            advance();
-            return;
-        }
-        if (!result) {
-            retry();
-            return;
-        }
-        failures_ = 0;
-        last_answer_ = timers_.now();
-        revision_ = std::max(revision_, result->revision);
-        if (!result->changes.empty())
-            hooks_.changed(*result);
-        pause(result->changes.empty() ? duration{0} : rest_);
-    });
+    const duration wait = is_proof ? duration{0} : next_wait();
+    const duration limit = is_proof ? proof_limit(failures_) : wait + reply_limit;
+    hooks_.watch(revision_, wait, limit,
+                 [this, is_proof](const tl::expected<object_changes, store_error>& result) {
+                     const bool is_gone = !result && result.error() == store_error::history_gone;
+                     hooks_.reached(result.has_value() || is_gone);
+                     if (is_gone) {
+                         // Changes were missed: only a list tells what is there now.
+                         busy_ = false;
+                         current_ = false;
+                         advance();
+                         return;
+                     }
+                     if (!result) {
+                         retry();
+                         return;
+                     }
+                     failures_ = 0;
+                     last_answer_ = timers_.now();
+                     revision_ = std::max(revision_, result->revision);
+                     in_step_ = is_proof || !result->changes.empty();
+                     if (!result->changes.empty())
+                         hooks_.changed(*result);
+                     pause(result->changes.empty() ? duration{0} : rest_);
+                 });
+}
+
+duration object_feed::next_wait() {
+    if (!in_step_)
+        return usual_wait;
+    const auto span = static_cast<std::uint64_t>((usual_wait - least_wait).count());
+    return least_wait + duration{static_cast<duration::rep>(random_() % span)};
 }
 
 void object_feed::retry() {
--- a/packages/core/cluster/object_feed.h
+++ b/packages/core/cluster/object_feed.h
@@ -31,6 +31,9 @@
 /**
  * Lists a kind, then keeps one watch waiting. A watch that ends is started again after a short rest, so that
  * changes that come close together cost one call; a failed call is repeated after a growing, drawn pause.
+ * A change ends the watches of all nodes at once. The wait of the next one is drawn, so that from then on
+ * they end one after another: a store that has forgotten them is noticed by the first, and peers see that it
+ * is ahead.
  */
 class object_feed {
 public:
@@ -55,6 +58,9 @@
     void advance();
     void list();
     void watch();
+    /** @return how long the next watch waits: drawn when other nodes start theirs now too, else the usual
+     * time. */
+    [[nodiscard]] duration next_wait();
     void retry();
     void pause(duration span);
 
@@ -66,6 +72,7 @@
     bool listed_ = false;                   ///< see is_listed()
     bool current_ = false;                  ///< whether revision_ can be watched from
     bool busy_ = false;                     ///< whether a call or a pause is under way
+    bool in_step_ = true;                   ///< whether what just came, came to all nodes at once
     std::uint32_t failures_ = 0;            ///< calls failed in a row
     time_point last_answer_{};              ///< see last_answer()
 };
