Fix: only holders connect to servers of an index that is being cut anew

Cause: a service that the configuration described and no gather route named counted as one that every node connects to. New shards are described before routes name them, old ones after, so all 71 nodes connected to servers that take few connections. Ruled out: answers that end the connection (178 of 32,231), requests withdrawn, the cut from the store (the same pairs on nodes that were not cut). Change: where servers take too few connections for all nodes and no route names their service, holders alone connect, and share the connections among themselves. Test: "holders: only a holder connects to services that a configuration describes before or after" (failed: 40 of 40 nodes connected, share of 40), and that a service of a plain route stays every node's.

--- a/packages/core/cluster/holders.cpp
+++ b/packages/core/cluster/holders.cpp
@@ -40,6 +40,17 @@
     return names;
 }
 
+/** @return the services that some route names. */
+std::set<service_name> named_services(const route_table& routes) {
+    std::set<service_name> named;
+    for (const route& via : routes.routes()) {
+        named.insert(via.shards.begin(), via.shards.end());
+        for (const weighted_service& it : via.destinations)
+            named.insert(it.name);
+    }
+    return named;
+}
+
 } // namespace
 
 bool needs_holders(std::uint32_t max_connections, std::size_t nodes) {
@@ -80,9 +91,9 @@
 }
 
 void holder_table::update(const route_table_ptr& routes, std::span<const member> nodes) {
-    routes_ = routes;
     groups_.clear();
     group_of_.clear();
+    shared_by_all_.clear();
     nodes_ = static_cast<std::uint32_t>(std::max<std::size_t>(1, nodes.size()));
     if (!routes)
         return;
@@ -101,6 +112,12 @@
         for (const service_name& service : key)
             group_of_[service] = key;
     }
+    const std::set<service_name> named = named_services(*routes);
+    for (const auto& [name, service] : routes->services()) {
+        if (!group_of_.contains(name) &&
+            (named.contains(name) || !needs_holders(service.max_connections, nodes.size())))
+            shared_by_all_.insert(name);
+    }
 }
 
 std::span<const node_address> holder_table::holders_of(const route& via) const {
@@ -113,13 +130,15 @@
 bool holder_table::holds(const service_name& service) const {
     if (const auto it = group_of_.find(service); it != group_of_.end())
         return groups_.at(it->second).has_self;
-    const bool is_described = routes_ && routes_->services().contains(service);
-    return is_described || is_holder();
+    return shared_by_all_.contains(service) || is_holder();
 }
 
 std::uint32_t holder_table::sharing(const service_name& service) const {
-    const auto it = group_of_.find(service);
-    return it == group_of_.end() ? nodes_ : static_cast<std::uint32_t>(groups_.at(it->second).holders.size());
+    if (const auto it = group_of_.find(service); it != group_of_.end())
+        return static_cast<std::uint32_t>(groups_.at(it->second).holders.size());
+    if (shared_by_all_.contains(service) || !is_divided())
+        return nodes_;
+    return static_cast<std::uint32_t>(all_holders());
 }
 
 std::size_t holder_table::all_holders() const {
--- a/packages/core/cluster/holders.h
+++ b/packages/core/cluster/holders.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -59,8 +60,9 @@
     /** @return the holders of a gather route's shards; empty when every node holds them. */
     [[nodiscard]] std::span<const node_address> holders_of(const route& via) const;
     /**
-     * @return whether this node keeps connections to the servers of a service. Servers of a service that no
-     * route names yet are connected to by holders, ahead of the routes that will name it.
+     * @return whether this node keeps connections to the servers of a service. Where these take fewer
+     * connections than all nodes need and no route names the service, holders alone connect: an index that is
+     * cut anew is described before its routes name it, and for a while after they do not any more.
      */
     [[nodiscard]] bool holds(const service_name& service) const;
     /** @return nodes that share the connections of a service's servers. */
@@ -80,10 +82,10 @@
     };
 
     node_address self_;                                          ///< this node
-    route_table_ptr routes_;                                     ///< in force; null for none
     std::uint32_t nodes_ = 1;                                    ///< nodes that are running
     std::map<std::vector<service_name>, group> groups_;          ///< by their shards
     std::map<service_name, std::vector<service_name>> group_of_; ///< of services that only holders connect to
+    std::set<service_name> shared_by_all_;                       ///< services that every node connects to
 };
 
 } // namespace pollengrade
--- a/tests/core/cluster/holders_test.cpp
+++ b/tests/core/cluster/holders_test.cpp
@@ -33,9 +33,9 @@
     return nodes;
 }
 
-/** A gather over shards that take a number of connections each. */
+/** A gather over shards that take a number of connections each, beside services that no route names. */
 route_table_ptr table_of(std::uint64_t version, const std::vector<std::string>& shards,
-                         std::uint32_t connections) {
+                         std::uint32_t connections, const std::vector<std::string>& unnamed = {}) {
     route via;
     via.name = "search";
     via.host = "a.example";
@@ -52,6 +52,8 @@
         via.shards.emplace_back(it);
         parts.services.push_back({service_name{it}, connections});
     }
+    for (const std::string& it : unnamed)
+        parts.services.push_back({service_name{it}, connections});
     parts.routes = {via};
     parts.limits = {1024, 1024, milliseconds{1000}, milliseconds{1000}};
     return route_table::make(std::move(parts)).value();
@@ -160,6 +162,52 @@
     CHECK(holders == 4);
 }
 
+TEST_CASE("holders: only a holder connects to services that a configuration describes before or after a "
+          "route names them") {
+    // An index is cut anew: its new shards are described first, then named, and the old ones described for a
+    // while.
+    const auto nodes = nodes_of(40);
+    const auto before = table_of(1, {"s0", "s1"}, 16, {"t0", "t1", "t2"});
+    const auto after = table_of(2, {"t0", "t1", "t2"}, 16, {"s0", "s1"});
+    std::size_t connected_early = 0;
+    std::size_t connected_late = 0;
+    for (const member& self : nodes) {
+        holder_table table{self.address};
+        table.update(before, nodes);
+        connected_early += table.holds(service_name{"t0"}) ? 1U : 0U;
+        CHECK(table.sharing(service_name{"t0"}) == 4);
+        table.update(after, nodes);
+        connected_late += table.holds(service_name{"s0"}) ? 1U : 0U;
+        CHECK(table.sharing(service_name{"s0"}) == 4);
+    }
+    CHECK(connected_early == 4);
+    CHECK(connected_late == 4);
+}
+
+TEST_CASE("holders: a service that a plain route names is every node's, beside a divided gather") {
+    const auto nodes = nodes_of(40);
+    const auto routes = table_of(1, {"s0", "s1"}, 16, {"p"});
+    route_table_parts parts;
+    parts.version = object_version{2};
+    parts.routes = routes->routes();
+    route plain = parts.routes.front();
+    plain.name = "plain";
+    plain.prefix = "/plain/";
+    plain.shards.clear();
+    plain.destinations = {{service_name{"p"}, 1}};
+    parts.routes.push_back(plain);
+    for (const auto& [name, service] : routes->services())
+        parts.services.push_back(service);
+    parts.limits = routes->limits();
+    const auto both = route_table::make(std::move(parts)).value();
+    for (const member& self : nodes) {
+        holder_table table{self.address};
+        table.update(both, nodes);
+        CHECK(table.holds(service_name{"p"}));
+        CHECK(table.sharing(service_name{"p"}) == nodes.size());
+    }
+}
+
 TEST_CASE("holders: where every node has its share nobody is one") {
     const auto nodes = nodes_of(6);
     const auto routes = table_of(1, {"s0", "s1"}, 16);
