Fix: nodes that start together know each other within two seconds, and wait for that before they connect

Cause: a starting node read one seed's list, once, and the seed had just started as well; the rest came with one probe a second, some members each: over 8 s until all 71 were known. 400 ms after its start each node took the few it knew for all, so itself for a holder, and filled the servers' connections. The holders were then turned away, with pauses that double up to 1.6 s. Ruled out: the 10 s of smaller shares after a start (3 connections a holder suffice: from 42 s on all is served with them). Change: a starting node greets and reads a seed or another node six times within 3.1 s, at doubling intervals; and keeps no connections ahead of need until it has learned of no other node for 400 ms, for 2 s at most.

--- a/packages/core/cluster/membership.cpp
+++ b/packages/core/cluster/membership.cpp
@@ -14,12 +14,15 @@
 constexpr duration probe_period = std::chrono::seconds{1};   ///< between two probes by a node
 constexpr duration suspicion_time = std::chrono::seconds{4}; ///< to refute, before a node is given up on
 constexpr duration forget_time = std::chrono::seconds{60};   ///< a dead node's word is kept this long
-constexpr duration rejoin_period =
-    std::chrono::seconds{2}; ///< between two tries to reach a lost node or a seed
-constexpr duration touch_time = std::chrono::seconds{10}; ///< silence after which a node counts as cut off
-constexpr std::size_t indirect_probes = 3;                ///< nodes asked to probe for this one
-constexpr std::size_t leave_notices = 4;                  ///< nodes told first of a graceful stop
-constexpr std::uint32_t spread_factor = 3;                ///< times log2(nodes) that news is sent
+constexpr duration rejoin_period = std::chrono::seconds{2};  ///< between two tries to reach a lost node
+constexpr duration touch_time = std::chrono::seconds{10};    ///< silence after which a node counts as cut off
+/** Between a starting node's first two readings of another's list, then doubled: VMs that get their power
+ * back together start within about a second. */
+constexpr duration first_reading_pause = std::chrono::milliseconds{100};
+constexpr std::uint32_t most_readings = 6; ///< of a starting node; the last is 3.1 s after the first
+constexpr std::size_t indirect_probes = 3; ///< nodes asked to probe for this one
+constexpr std::size_t leave_notices = 4;   ///< nodes told first of a graceful stop
+constexpr std::uint32_t spread_factor = 3; ///< times log2(nodes) that news is sent
 
 bool is_live(member_state it) {
     return it == member_state::alive || it == member_state::suspect;
@@ -36,34 +39,44 @@
                        std::function<std::uint64_t()> random, member self, std::vector<node_address> seeds,
                        membership_hooks hooks)
     : timers_{timers}, log_{log}, counts_{counts}, random_{std::move(random)}, self_{std::move(self)},
-      seeds_{std::move(seeds)}, hooks_{std::move(hooks)}, last_heard_{timers.now()} {}
+      seeds_{std::move(seeds)}, hooks_{std::move(hooks)}, last_heard_{timers.now()} {
+    std::erase(seeds_, self_.address); // A node is no seed of its own.
+}
 
 void membership::start() {
     spread(self_);
-    join();
+    read_list(0);
+    seek_lost();
     const auto jitter =
         static_cast<duration::rep>(random_() % static_cast<std::uint64_t>(probe_period.count()));
     timers_.schedule_after(duration{jitter}, [this] { probe_next(); });
 }
 
-void membership::join() {
-    timers_.schedule_after(rejoin_period, [this] { join(); });
-    seek_lost();
-    if (seeds_.empty() || live().size() > 1)
+void membership::read_list(std::uint32_t readings) {
+    const auto known = draw(1);
+    if (seeds_.empty() || (readings >= most_readings && !known.empty()))
         return;
-    const node_address seed = seeds_[random_() % seeds_.size()];
-    hooks_.list(seed, [this](const std::optional<std::vector<member>>& list) {
+    // Seeds are greeted by all that start; the others take a part of the readings off them.
+    const bool asks_seed = known.empty() || readings % 2 == 0;
+    const node_address target = asks_seed ? seeds_[random_() % seeds_.size()] : known.front();
+    ++counts_.counter("member_lists_read");
+    // Greeted first: its list then holds this node for whoever reads it next.
+    greet(target);
+    hooks_.list(target, [this](const std::optional<std::vector<member>>& list) {
         if (!list)
             return;
         for (const member& it : *list)
             take(it);
     });
+    const duration pause = first_reading_pause * (1U << std::min(readings, most_readings));
+    timers_.schedule_after(std::min(pause, rejoin_period), [this, readings] { read_list(readings + 1); });
 }
 
 void membership::seek_lost() {
+    timers_.schedule_after(rejoin_period, [this] { seek_lost(); });
     std::vector<node_address> lost;
     for (const node_address& it : seeds_) {
-        if (it != self_.address && !others_.contains(it))
+        if (!others_.contains(it))
             lost.push_back(it);
     }
     for (const auto& [address, it] : others_) {
@@ -73,11 +86,7 @@
     if (lost.empty())
         return;
     // Two sides of a cut have given each other up: a probe across it lets one refute.
-    const node_address target = lost[random_() % lost.size()];
-    hooks_.probe(target, make_greeting(target), [this](const std::optional<greeting>& reply) {
-        if (reply)
-            heard(*reply);
-    });
+    greet(lost[random_() % lost.size()]);
 }
 
 std::vector<member> membership::all() const {
@@ -122,12 +131,15 @@
 }
 
 void membership::greet(std::size_t count) {
-    for (const node_address& it : draw(count)) {
-        hooks_.probe(it, make_greeting(it), [this](const std::optional<greeting>& reply) {
-            if (reply)
-                heard(*reply);
-        });
-    }
+    for (const node_address& it : draw(count))
+        greet(it);
+}
+
+void membership::greet(const node_address& target) {
+    hooks_.probe(target, make_greeting(target), [this](const std::optional<greeting>& reply) {
+        if (reply)
+            heard(*reply);
+    });
 }
 
 std::vector<node_address> membership::draw(std::size_t count) const {
--- a/packages/core/cluster/membership.h
+++ b/packages/core/cluster/membership.h
@@ -80,7 +80,13 @@
     [[nodiscard]] bool is_in_touch() const;
 
 private:
-    void join();
+    /**
+     * Reads a seed's or another node's list, greets it, and goes on for some seconds: others may be starting
+     * too.
+     * @param readings made before
+     */
+    void read_list(std::uint32_t readings);
+    void greet(const node_address& target);
     void seek_lost();
     void probe_next();
     void probe(const node_address& target);
--- a/packages/core/config/node_settings.cpp
+++ b/packages/core/config/node_settings.cpp
@@ -112,7 +112,6 @@
         errors.push_back(
             {settings_error_code::not_a_choice, "cluster", "seeds", 0, "IPv4:port, separated by commas"});
     }
-    std::erase(it.seeds, it.peers); // A node is no seed of its own.
     if (!errors.empty())
         return tl::unexpected{std::move(errors)};
     return it;
--- a/packages/core/upstreams/server_pool.cpp
+++ b/packages/core/upstreams/server_pool.cpp
@@ -17,24 +17,40 @@
 
 /** Servers find out that a VM without power has left its connections behind after about as long. */
 constexpr duration start_time = std::chrono::seconds{10};
-/** Until a node that starts with all others knows them: no connection is opened ahead of need before. */
+/** A node that starts with all others does not know them yet, and would take itself for a holder: until it
+ * has learned of no other for this long, no connection is opened ahead of need. */
 constexpr duration settle_time = std::chrono::milliseconds{400};
+constexpr duration longest_settling = std::chrono::seconds{2}; ///< all nodes know each other by then
 
 } // namespace
 
 server_pool::server_pool(timer_queue& timers, dispatcher& servers,
                          std::function<connection_plan(const service_name&)> plan)
-    : servers_{servers}, plan_{std::move(plan)} {
-    timers.schedule_after(settle_time, [this] {
-        settling_ = false;
-        publish_all();
-    });
+    : timers_{timers}, servers_{servers}, plan_{std::move(plan)}, started_{timers.now()} {
+    await_settling();
     timers.schedule_after(start_time, [this] {
         just_started_ = false;
         publish_all();
     });
 }
 
+void server_pool::await_settling() {
+    if (settled_)
+        timers_.cancel(*settled_);
+    const time_point when = std::min(timers_.now() + settle_time, started_ + longest_settling);
+    settled_ = timers_.schedule_at(when, [this] {
+        settled_.reset();
+        settling_ = false;
+        publish_all();
+    });
+}
+
+void server_pool::on_nodes_changed() {
+    if (settling_)
+        await_settling();
+    publish_all();
+}
+
 std::uint32_t connection_share_after_start(std::uint32_t max_connections, std::uint32_t nodes) {
     const std::uint32_t each = max_connections / std::max(nodes, least_nodes);
     return std::max(1U, each - std::min(each, connection_share(max_connections, nodes)));
--- a/packages/core/upstreams/server_pool.h
+++ b/packages/core/upstreams/server_pool.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 
 #include "core/base/timer_queue.h"
 #include "core/config/route_table.h"
@@ -55,17 +56,21 @@
     /** Takes routes that are in force now: they say what a server takes. */
     void on_routes(const route_table& table);
     /** Takes that other nodes share the connections now. */
-    void on_nodes_changed() { publish_all(); }
+    void on_nodes_changed();
 
 private:
     void publish(const server_entry& entry);
     void publish_all();
     void publish_set(const service_name& service);
+    void await_settling();
 
+    timer_queue& timers_;                                      ///< the clock
     dispatcher& servers_;                                      ///< what is told
     std::map<upstream_id, server_entry> entries_;              ///< of servers that have not left
     std::map<service_name, std::uint32_t> max_connections_;    ///< of each described service
     std::function<connection_plan(const service_name&)> plan_; ///< see server_pool()
+    time_point started_;                                       ///< when this node started
+    std::optional<timer_id> settled_;                          ///< pending end of settling
     bool settling_ = true;                                     ///< few other nodes may be known yet
     bool just_started_ = true;                                 ///< see connection_share_after_start()
 };
--- a/tests/core/upstreams/server_pool_test.cpp
+++ b/tests/core/upstreams/server_pool_test.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 server_entry entry_of(const std::string& name) {
@@ -52,6 +53,38 @@
     CHECK(network.servers().find(id)->limits().max_connections == 4);
 }
 
+TEST_CASE("a node that still learns of others connects to no server ahead of need, for two seconds at most") {
+    timer_queue timers = paused_clock();
+    fake_network network{timers};
+    server_pool pool{timers, network.servers(), [](const service_name&) { return connection_plan{8, true}; }};
+    pool.on_routes(*table_with(40));
+    pool.on_entry(entry_of("a"), false);
+    const upstream_id id = id_of(entry_of("a"));
+    const auto is_kept = [&] { return network.servers().find(id)->limits().keep_open; };
+    for (int n = 0; n < 6; ++n) {
+        timers.advance_to(timers.now() + milliseconds{300});
+        CHECK_FALSE(is_kept());
+        pool.on_nodes_changed();
+    }
+    timers.advance_to(timers.now() + milliseconds{199});
+    CHECK_FALSE(is_kept());
+    timers.advance_to(timers.now() + milliseconds{1});
+    CHECK(is_kept());
+    pool.on_nodes_changed();
+    CHECK(is_kept());
+}
+
+TEST_CASE("a node that learns of no others connects soon") {
+    timer_queue timers = paused_clock();
+    fake_network network{timers};
+    server_pool pool{timers, network.servers(), [](const service_name&) { return connection_plan{8, true}; }};
+    pool.on_routes(*table_with(40));
+    pool.on_entry(entry_of("a"), false);
+    pool.on_nodes_changed();
+    timers.advance_to(timers.now() + milliseconds{400});
+    CHECK(network.servers().find(id_of(entry_of("a")))->limits().keep_open);
+}
+
 TEST_CASE("a restart of all nodes at once does not put a server over its limit") {
     for (std::uint32_t connections = 20; connections <= 100; ++connections) {
         for (std::uint32_t nodes = 7; nodes <= 9; ++nodes) {
