Fix: each node is told of a changed registry by two nodes on duty, not by chance

Cause, first half: nodes on duty greeted 3 nodes each, drawn at random: 30 greetings reach a third of 74 nodes. The rest waited for probes, one a second, which leaves a tail of several seconds in a large fleet. Change: by rendezvous hashing each node has two nodes on duty that tell it.

--- a/packages/core/cluster/holders.cpp
+++ b/packages/core/cluster/holders.cpp
@@ -138,14 +138,14 @@
         return static_cast<std::uint32_t>(groups_.at(it->second).holders.size());
     if (shared_by_all_.contains(service) || !is_divided())
         return nodes_;
-    return static_cast<std::uint32_t>(all_holders());
+    return static_cast<std::uint32_t>(all_holders().size());
 }
 
-std::size_t holder_table::all_holders() const {
+std::vector<node_address> holder_table::all_holders() const {
     std::set<node_address> all;
     for (const auto& [key, it] : groups_)
         all.insert(it.holders.begin(), it.holders.end());
-    return all.size();
+    return {all.begin(), all.end()};
 }
 
 bool holder_table::is_holder() const {
--- a/packages/core/cluster/holders.h
+++ b/packages/core/cluster/holders.h
@@ -69,8 +69,8 @@
     [[nodiscard]] std::uint32_t sharing(const service_name& service) const;
     /** @return whether only some nodes hold some connections; only these then watch the platform's store. */
     [[nodiscard]] bool is_divided() const noexcept { return !groups_.empty(); }
-    /** @return how many nodes hold the connections of any group. */
-    [[nodiscard]] std::size_t all_holders() const;
+    /** @return the nodes that hold the connections of any group. */
+    [[nodiscard]] std::vector<node_address> all_holders() const;
     /** @return whether this node holds the connections of any group, or all nodes do. */
     [[nodiscard]] bool is_holder() const;
 
--- a/packages/core/cluster/membership.cpp
+++ b/packages/core/cluster/membership.cpp
@@ -141,11 +141,6 @@
     return it == others_.end() ? failure_domain{} : it->second.domain;
 }
 
-void membership::greet(std::size_t count) {
-    for (const node_address& it : draw(count))
-        greet(it);
-}
-
 void membership::greet(const node_address& target) {
     hooks_.probe(target, make_greeting(target), [this](const std::optional<greeting>& reply) {
         if (reply)
--- a/packages/core/cluster/membership.h
+++ b/packages/core/cluster/membership.h
@@ -72,8 +72,8 @@
     [[nodiscard]] std::vector<member> live_members() const;
     /** @return the failure domain of a node; empty when it is not known. */
     [[nodiscard]] failure_domain domain_of(const node_address& node) const;
-    /** Greets some nodes at once, to pass on that something has changed. */
-    void greet(std::size_t count);
+    /** Greets a node at once, to pass on that something has changed. */
+    void greet(const node_address& target);
     /** @return up to @p count other live nodes drawn at random. */
     [[nodiscard]] std::vector<node_address> draw(std::size_t count) const;
     /** @return whether another node has been heard of lately, or none is known. */
@@ -86,7 +86,6 @@
      * @param readings made before
      */
     void read_list(std::uint32_t readings);
-    void greet(const node_address& target);
     void greet_seeds();
     void seek_lost();
     void probe_next();
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/cluster/announce_func.h"
 #include "core/cluster/rendezvous_func.h"
 
 namespace pollengrade {
@@ -13,7 +14,6 @@
 constexpr std::size_t relays_per_domain = 2;    ///< nodes that watch the platform in a failure domain
 constexpr std::size_t document_push_fanout = 4; ///< nodes that a document is pushed on to: not all watch
 constexpr std::size_t divided_push_fanout = 2; ///< nodes that routes are pushed on to; a difference is pulled
-constexpr std::size_t least_announced = 2;     ///< nodes greeted at least when the registry has changed
 constexpr duration announce_delay = std::chrono::milliseconds{300}; ///< changes of servers come in bursts
 constexpr duration peer_ask_period =
     std::chrono::milliseconds{500}; ///< while configuration is not complete, or the platform does not answer
@@ -137,10 +137,10 @@
     });
 }
 
-void cluster::set_duty(bool divided, bool on_duty, std::size_t duty_nodes) {
+void cluster::set_duty(bool divided, bool on_duty, std::vector<node_address> duty_nodes) {
     divided_ = divided;
     on_duty_ = on_duty;
-    duty_nodes_ = std::max<std::size_t>(1, duty_nodes);
+    duty_nodes_ = std::move(duty_nodes);
     registry_.set_fed(on_duty);
     if (is_routed_)
         spread_.set_push_fanout(divided ? divided_push_fanout : 0);
@@ -151,9 +151,8 @@
         return;
     clock_.timers().schedule_after(announce_delay, [this] {
         announcing_ = false;
-        // Together they reach about half of all nodes; the rest hears of it with the next second's probes.
-        const std::size_t share = membership_.live().size() / (2 * duty_nodes_);
-        membership_.greet(std::max(least_announced, share));
+        for (const node_address& it : nodes_to_tell(address_, duty_nodes_, membership_.live()))
+            membership_.greet(it);
     });
 }
 
--- a/packages/daemon/cluster.h
+++ b/packages/daemon/cluster.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <span>
+#include <vector>
 
 #include <tl/expected.hpp>
 
@@ -57,9 +58,9 @@
     /**
      * Takes whether only some nodes wait for changes in the platform's store, and whether this is one of
      * them: they pass changes on.
-     * @param duty_nodes how many wait
+     * @param duty_nodes those that wait; empty when all do
      */
-    void set_duty(bool divided, bool on_duty, std::size_t duty_nodes);
+    void set_duty(bool divided, bool on_duty, std::vector<node_address> duty_nodes);
     /** The registry has changed: other nodes are greeted soon, if they wait for word from here. */
     void announce();
 
@@ -78,24 +79,24 @@
     registry_spread_hooks make_registry_hooks();
     peer_hooks make_peer_hooks();
 
-    loop_clock& clock_;          ///< the process's clock
-    cluster_hooks hooks_;        ///< the node
-    config_store& store_;        ///< configuration known
-    registry& servers_;          ///< the registry known
-    kj_loop kj_loop_;            ///< outlives all that uses promises
-    peer_client client_;         ///< calls to peers
-    membership membership_;      ///< which nodes there are
-    config_spread spread_;       ///< configuration from and to peers
-    registry_spread registry_;   ///< the registry from peers
-    peer_server server_;         ///< calls from peers
-    node_address address_;       ///< where peers are served
-    bool is_routed_;             ///< whether callers are served by the users' routes
-    bool divided_ = false;       ///< see set_duty()
-    bool on_duty_ = true;        ///< see set_duty()
-    std::size_t duty_nodes_ = 1; ///< see set_duty()
-    bool announcing_ = false;    ///< whether a greeting is due
-    bool reached_ = true;        ///< whether the platform's store answers
-    bool seeking_ = false;       ///< whether seek_peers_configuration() is scheduled
+    loop_clock& clock_;                    ///< the process's clock
+    cluster_hooks hooks_;                  ///< the node
+    config_store& store_;                  ///< configuration known
+    registry& servers_;                    ///< the registry known
+    kj_loop kj_loop_;                      ///< outlives all that uses promises
+    peer_client client_;                   ///< calls to peers
+    membership membership_;                ///< which nodes there are
+    config_spread spread_;                 ///< configuration from and to peers
+    registry_spread registry_;             ///< the registry from peers
+    peer_server server_;                   ///< calls from peers
+    node_address address_;                 ///< where peers are served
+    bool is_routed_;                       ///< whether callers are served by the users' routes
+    bool divided_ = false;                 ///< see set_duty()
+    bool on_duty_ = true;                  ///< see set_duty()
+    std::vector<node_address> duty_nodes_; ///< see set_duty()
+    bool announcing_ = false;              ///< whether a greeting is due
+    bool reached_ = true;                  ///< whether the platform's store answers
+    bool seeking_ = false;                 ///< whether seek_peers_configuration() is scheduled
 };
 
 } // namespace pollengrade
--- a/packages/daemon/document_front.h
+++ b/packages/daemon/document_front.h
@@ -25,7 +25,7 @@
         router_.set_holders(holder_count{static_cast<std::uint32_t>(nodes.size())});
     }
     [[nodiscard]] bool is_divided() const override { return false; }
-    [[nodiscard]] std::size_t duty_nodes() const override { return 1; }
+    [[nodiscard]] std::vector<node_address> duty_nodes() const override { return {}; }
     [[nodiscard]] bool is_on_duty() const override { return true; }
     run_id run_query(const delegated_request& request,
                      std::function<void(delegated_answer)> respond) override;
--- a/packages/daemon/front.h
+++ b/packages/daemon/front.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <span>
+#include <vector>
 
 #include <tl/expected.hpp>
 
@@ -37,8 +38,8 @@
     virtual void on_nodes(std::span<const member> nodes) = 0;
     /** @return whether only some nodes wait for changes in the platform's store, and tell the others. */
     [[nodiscard]] virtual bool is_divided() const = 0;
-    /** @return how many do. */
-    [[nodiscard]] virtual std::size_t duty_nodes() const = 0;
+    /** @return those that do; empty when all do. */
+    [[nodiscard]] virtual std::vector<node_address> duty_nodes() const = 0;
     /** @return whether this node is one of them. */
     [[nodiscard]] virtual bool is_on_duty() const = 0;
     /** Runs another node's query. @return an ID that withdraw_query() takes */
--- a/packages/daemon/route_front.h
+++ b/packages/daemon/route_front.h
@@ -32,7 +32,7 @@
     void on_server(const server_entry& entry, bool removed) override { pool_.on_entry(entry, removed); }
     void on_nodes(std::span<const member> nodes) override;
     [[nodiscard]] bool is_divided() const override { return holders_.is_divided(); }
-    [[nodiscard]] std::size_t duty_nodes() const override { return holders_.all_holders(); }
+    [[nodiscard]] std::vector<node_address> duty_nodes() const override { return holders_.all_holders(); }
     [[nodiscard]] bool is_on_duty() const override { return holders_.is_holder(); }
     run_id run_query(const delegated_request& request,
                      std::function<void(delegated_answer)> respond) override {
--- a/tests/core/cluster/holders_test.cpp
+++ b/tests/core/cluster/holders_test.cpp
@@ -136,7 +136,7 @@
     const auto held = holders_in(table, before);
     CHECK(table.is_divided());
     CHECK(held.size() == 4);
-    CHECK(table.all_holders() == 4);
+    CHECK(table.all_holders().size() == 4);
 
     const auto after = table_of(2, {"t0", "t1", "t2"}, 16);
     table.update(after, nodes);
