Fix: a doubt that is passed on between nodes ends for all at the same time

A node that heard of the doubt from another began its own 2.5 s, however old the doubt was: 3.9 s after the removal, and later the later it heard. Change: the time that a doubt has left is passed on with it (doubtLeftMs; a node of the version before counts as the whole time). Test that failed first: "a doubt that is passed on from node to node ends for all at the same time".

--- a/packages/core/upstreams/registry.cpp
+++ b/packages/core/upstreams/registry.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/** Servers that live have written their entries again within two seconds of the store's return. */
-constexpr duration rewrite_time = std::chrono::milliseconds{2500};
 constexpr std::size_t most_changes = 1024; ///< kept for peers that lag; one that lags more is told all
 
 } // namespace
@@ -79,7 +77,7 @@
         listed.insert(name);
         put(it.entry);
         if (it.state == entry_state::doubted)
-            doubt(name, timers_.now() + rewrite_time);
+            doubt(name, timers_.now() + std::clamp(it.doubt_left, duration{0}, rewrite_time));
     }
     if (!other.is_whole)
         return true;
@@ -109,17 +107,19 @@
 
 void registry::note_change(const server_entry& entry, entry_state state) {
     changed_at_ = std::max(changed_at_, revision_);
-    changes_.emplace_back(revision_, registry_item{entry, state});
+    changes_.emplace_back(revision_, registry_item{entry, state, rewrite_time});
     if (changes_.size() <= most_changes)
         return;
     changes_from_ = changes_.front().first;
     changes_.pop_front();
 }
 
-entry_state registry::state_of(const std::string& name) const {
-    if (doubted_.contains(name))
-        return entry_state::doubted;
-    return entries_.contains(name) ? entry_state::present : entry_state::removed;
+registry_item registry::item_of(const server_entry& entry, entry_state state) const {
+    registry_item item{entry, state, rewrite_time};
+    const auto pending = doubted_.find(entry.name);
+    if (state == entry_state::doubted && pending != doubted_.end())
+        item.doubt_left = std::max(duration{0}, pending->second.until - timers_.now());
+    return item;
 }
 
 registry_update registry::update_after(object_version held) const {
@@ -128,12 +128,13 @@
     registry_update update{revision_, held < changes_from_ || held == object_version{}, {}};
     if (update.is_whole) {
         for (const auto& [name, entry] : entries_)
-            update.items.push_back({entry, state_of(name)});
+            update.items.push_back(
+                item_of(entry, doubted_.contains(name) ? entry_state::doubted : entry_state::present));
         return update;
     }
     for (const auto& [revision, item] : changes_) {
         if (revision > held)
-            update.items.push_back(item);
+            update.items.push_back(item_of(item.entry, item.state));
     }
     return update;
 }
@@ -142,7 +143,7 @@
     const auto pending = doubted_.find(entry.name);
     const bool was_doubted = pending != doubted_.end();
     if (was_doubted) {
-        timers_.cancel(pending->second);
+        timers_.cancel(pending->second.timer);
         doubted_.erase(pending);
     }
     unreadable_.erase(entry.name);
@@ -176,15 +177,16 @@
         return;
     ++counts_.counter("removals_doubted");
     note_change(known->second, entry_state::doubted);
-    doubted_[name] = timers_.schedule_at(until, [this, name] {
+    const timer_id timer = timers_.schedule_at(until, [this, name] {
         doubted_.erase(name);
         remove_now(name);
     });
+    doubted_[name] = {timer, until};
 }
 
 void registry::remove_now(const std::string& name) {
     if (const auto pending = doubted_.find(name); pending != doubted_.end()) {
-        timers_.cancel(pending->second);
+        timers_.cancel(pending->second.timer);
         doubted_.erase(pending);
     }
     const auto node = entries_.extract(name);
--- a/packages/core/upstreams/registry.h
+++ b/packages/core/upstreams/registry.h
@@ -25,10 +25,14 @@
     removed, ///< gone
 };
 
+/** Servers that live have written their entries again within two seconds of the store's return. */
+constexpr duration rewrite_time = std::chrono::milliseconds{2500};
+
 /** One entry, as nodes give it to each other. */
 struct registry_item {
     server_entry entry;                       ///< the entry, or what it was last
     entry_state state = entry_state::present; ///< how much of it is believed
+    duration doubt_left = rewrite_time;       ///< for a doubted one: after this it counts as removed
 };
 
 /** What one node tells another: all entries, or what has changed since a revision. */
@@ -72,6 +76,12 @@
     [[nodiscard]] const std::map<std::string, server_entry>& entries() const noexcept { return entries_; }
 
 private:
+    /** A removal that is not believed yet. */
+    struct pending_removal {
+        timer_id timer;   ///< fires at its end
+        time_point until; ///< its end
+    };
+
     void put(const server_entry& entry);
     void remove(const std::string& name);
     void doubt(const std::string& name, time_point until);
@@ -79,7 +89,8 @@
     void remove_all_but(const std::set<std::string>& listed);
     void forget_changes();
     void note_change(const server_entry& entry, entry_state state);
-    [[nodiscard]] entry_state state_of(const std::string& name) const;
+    /** @return an entry or its change as it is told now. */
+    [[nodiscard]] registry_item item_of(const server_entry& entry, entry_state state) const;
     void note_unreadable(const std::string& name, object_version version);
 
     timer_queue& timers_;                              ///< the clock
@@ -89,7 +100,7 @@
     object_version revision_;                          ///< see revision()
     object_version changed_at_;                        ///< see changed_at()
     std::map<std::string, server_entry> entries_;      ///< by name
-    std::map<std::string, timer_id> doubted_;          ///< removals not believed yet
+    std::map<std::string, pending_removal> doubted_;   ///< removals not believed yet
     std::map<std::string, object_version> unreadable_; ///< entries that name no server, told once each
     std::deque<std::pair<object_version, registry_item>>
         changes_;                 ///< of late, by the revision that brought them
--- a/packages/peer/peer.capnp
+++ b/packages/peer/peer.capnp
@@ -39,6 +39,7 @@
   warmupLeftMs @7 :Int64;
   version @8 :UInt64;       # the platform's revision
   state @9 :UInt8;          # entry_state
+  doubtLeftMs @10 :UInt32 = 2500; # for a doubted one: after this it counts as removed
 }
 
 struct Field {
--- a/packages/peer/peer.capnp.h
+++ b/packages/peer/peer.capnp.h
@@ -86,7 +86,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d192ca4076c7154b, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d192ca4076c7154b, 5, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -685,6 +685,8 @@
 
   inline  ::uint8_t getState() const;
 
+  inline  ::uint32_t getDoubtLeftMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -759,6 +761,9 @@
   inline  ::uint8_t getState();
   inline void setState( ::uint8_t value);
 
+  inline  ::uint32_t getDoubtLeftMs();
+  inline void setDoubtLeftMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3034,6 +3039,20 @@
       ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t ServerEntry::Reader::getDoubtLeftMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, 2500u);
+}
+
+inline  ::uint32_t ServerEntry::Builder::getDoubtLeftMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, 2500u);
+}
+inline void ServerEntry::Builder::setDoubtLeftMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value, 2500u);
+}
+
 inline bool Field::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/peer/peer_codec.cpp
+++ b/packages/peer/peer_codec.cpp
@@ -124,6 +124,7 @@
     out.setWarmupLeftMs(it.entry.warmup_left_ms);
     out.setVersion(it.entry.version.value());
     out.setState(static_cast<std::uint8_t>(it.state));
+    out.setDoubtLeftMs(static_cast<std::uint32_t>(std::max<std::int64_t>(0, to_milliseconds(it.doubt_left))));
 }
 
 std::vector<registry_item> read_items(capnp::List<wire::ServerEntry>::Reader in) {
@@ -143,7 +144,8 @@
         const bool is_valid = is_address(it.address.value()) && it.slots > 0 &&
                               reader.getState() <= static_cast<std::uint8_t>(entry_state::removed);
         if (is_valid)
-            list.push_back({std::move(it), static_cast<entry_state>(reader.getState())});
+            list.push_back({std::move(it), static_cast<entry_state>(reader.getState()),
+                            std::chrono::milliseconds{reader.getDoubtLeftMs()}});
     }
     return list;
 }
--- a/tests/core/cluster/registry_spread_test.cpp
+++ b/tests/core/cluster/registry_spread_test.cpp
@@ -143,6 +143,28 @@
     CHECK(peer.gone.empty());
 }
 
+TEST_CASE("a doubt that is passed on from node to node ends for all at the same time") {
+    registry_fixture node;
+    registry_fixture peer;
+    registry_fixture far;
+    for (registry_fixture* it : {&node, &peer, &far})
+        it->list(10, {entry_of("a", 3)});
+    node.servers.on_store_regained();
+    node.change(11, entry_of("a", 3), true);
+    const auto pass = [&](std::int64_t ms) {
+        for (registry_fixture* it : {&node, &peer, &far})
+            it->pass(ms);
+    };
+    pass(1500);
+    peer.servers.take(node.servers.update_after(object_version{10}));
+    pass(900);
+    far.servers.take(peer.servers.update_after(object_version{10}));
+    CHECK(far.gone.empty());
+    pass(100);
+    for (const registry_fixture* it : {&node, &peer, &far})
+        CHECK(it->gone == std::vector<std::string>{"a@1"});
+}
+
 TEST_CASE("nodes that watch the store at their own pace and tell each other end with the same servers") {
     // A watch may bring again, and later, what a node has already heard from a peer.
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
