--- a/tests/core/upstreams/server_pool_test.cpp
+++ b/tests/core/upstreams/server_pool_test.cpp
@@ -28,6 +28,21 @@
     return route_table::make(std::move(parts)).value();
 }
 
+/** One of eight nodes that has just started, and a server that takes 40 connections. */
+struct started_pool {
+    started_pool() {
+        pool.on_routes(*table_with(40));
+        pool.on_entry(entry_of("a"), false);
+    }
+
+    void pass(milliseconds span) { timers.advance_to(timers.now() + span); }
+    upstream_limits limits() { return network.servers().find(id_of(entry_of("a")))->limits(); }
+
+    timer_queue timers = paused_clock();
+    fake_network network{timers};
+    server_pool pool{timers, network.servers(), [](const service_name&) { return connection_plan{8, true}; }};
+};
+
 } // namespace
 
 TEST_CASE("shares of all nodes together stay under what a server takes, spares included") {
@@ -42,47 +57,32 @@
 }
 
 TEST_CASE("right after its start a node takes less: its VM's earlier connections may still be counted") {
-    timer_queue timers = paused_clock();
-    fake_network network{timers};
-    server_pool pool{timers, network.servers(), [](const service_name&) { return connection_plan{8, true}; }};
-    pool.on_routes(*table_with(40));
-    pool.on_entry(entry_of("a"), false);
-    const upstream_id id = id_of(entry_of("a"));
-    CHECK(network.servers().find(id)->limits().max_connections == 1);
-    timers.advance_to(timers.now() + seconds{10});
-    CHECK(network.servers().find(id)->limits().max_connections == 4);
+    started_pool it;
+    CHECK(it.limits().max_connections == 1);
+    it.pass(seconds{10});
+    CHECK(it.limits().max_connections == 4);
 }
 
 TEST_CASE("a node that still learns of others connects to no server ahead of need, for two seconds at most") {
-    timer_queue timers = paused_clock();
-    fake_network network{timers};
-    server_pool pool{timers, network.servers(), [](const service_name&) { return connection_plan{8, true}; }};
-    pool.on_routes(*table_with(40));
-    pool.on_entry(entry_of("a"), false);
-    const upstream_id id = id_of(entry_of("a"));
-    const auto is_kept = [&] { return network.servers().find(id)->limits().keep_open; };
+    started_pool it;
     for (int n = 0; n < 6; ++n) {
-        timers.advance_to(timers.now() + milliseconds{300});
-        CHECK_FALSE(is_kept());
-        pool.on_nodes_changed();
+        it.pass(milliseconds{300});
+        CHECK_FALSE(it.limits().keep_open);
+        it.pool.on_nodes_changed();
     }
-    timers.advance_to(timers.now() + milliseconds{199});
-    CHECK_FALSE(is_kept());
-    timers.advance_to(timers.now() + milliseconds{1});
-    CHECK(is_kept());
-    pool.on_nodes_changed();
-    CHECK(is_kept());
+    it.pass(milliseconds{199});
+    CHECK_FALSE(it.limits().keep_open);
+    it.pass(milliseconds{1});
+    CHECK(it.limits().keep_open);
+    it.pool.on_nodes_changed();
+    CHECK(it.limits().keep_open);
 }
 
 TEST_CASE("a node that learns of no others connects soon") {
-    timer_queue timers = paused_clock();
-    fake_network network{timers};
-    server_pool pool{timers, network.servers(), [](const service_name&) { return connection_plan{8, true}; }};
-    pool.on_routes(*table_with(40));
-    pool.on_entry(entry_of("a"), false);
-    pool.on_nodes_changed();
-    timers.advance_to(timers.now() + milliseconds{500});
-    CHECK(network.servers().find(id_of(entry_of("a")))->limits().keep_open);
+    started_pool it;
+    it.pool.on_nodes_changed();
+    it.pass(milliseconds{500});
+    CHECK(it.limits().keep_open);
 }
 
 TEST_CASE("a restart of all nodes at once does not put a server over its limit") {
