Fix: numbers of the platform that have a fraction were refused, and no node started

Cause: a thinned deployment states its slack as a share of the whole one's, 33.16; the setting took whole numbers only, so that every node ended at its start. Ruled out: the template; it passes the number on as it stands.

--- a/packages/core/config/node_settings.cpp
+++ b/packages/core/config/node_settings.cpp
@@ -38,7 +38,7 @@
      "Port of peers at the seeds, in place of those given there; 0 keeps those."},
     {"retries", "ratio", key_form::decimal, 0, 10, "0.2", false, "", "requests",
      "With interface = routes: hedges and retries of all nodes together for each needed request."},
-    {"retries", "slack", key_form::number, 0, 1000000, "20", false, "", "requests",
+    {"retries", "slack", key_form::decimal, 0, 1000000, "20", false, "", "requests",
      "With interface = routes: hedges and retries of all nodes together in a window besides."},
     {"retries", "window_s", key_form::decimal, 1, 3600, "10", false, "", "s",
      "Window over which ratio and slack are counted."},
@@ -105,7 +105,7 @@
                                              ini->decimal("node", "cpu_speed") * thousandths);
     it.grace = seconds_of(*ini, "node", "grace_s");
     it.budget.ratio = ini->decimal("retries", "ratio");
-    it.budget.slack = static_cast<double>(ini->number("retries", "slack"));
+    it.budget.slack = ini->decimal("retries", "slack");
     it.budget.window = seconds_of(*ini, "retries", "window_s");
     const auto peer_port = static_cast<std::uint32_t>(ini->number("cluster", "peer_port"));
     if (!split_addresses(ini->text("cluster", "seeds"), peer_port, it.seeds)) {
--- a/tests/core/config/settings_test.cpp
+++ b/tests/core/config/settings_test.cpp
@@ -66,4 +66,14 @@
     CHECK_FALSE(parse_node_settings("[node]\ncallers = 127.0.0.256:1\n" + base.substr(7)).has_value());
 }
 
+TEST_CASE("bounds on retries may have fractions, as a share of a larger deployment's have") {
+    const std::string base = "[node]\ncallers = 127.0.0.1:1\nname = n\noperators = 127.0.0.1:2\n"
+                             "peers = 127.0.0.1:3\nfailure_domain = d\n[platform]\naddress = 127.0.0.1:4\n";
+    const auto it = parse_node_settings(base + "[retries]\nslack = 33.157894736842104\nratio = 0.2\n");
+    REQUIRE(it.has_value());
+    CHECK(it->budget.slack == doctest::Approx(33.157894736842104));
+    CHECK_FALSE(parse_node_settings(base + "[retries]\nslack = -0.5\n").has_value());
+    CHECK_FALSE(parse_node_settings(base + "[retries]\nslack = some\n").has_value());
+}
+
 } // namespace pollengrade
