Fix: overdue timers ran before replies that had arrived, so a busy node hedged what was answered

Ruled out: slow servers; the replies were there, unread. A longer hedge delay would only move the moment. Change: what woke the loop by a timer reads the sockets first; a batch is 256 events instead of 64, so that the replies of one query fit in; timers that are due run after each batch, so neither starves the other.

--- a/packages/core/base/timer_queue.cpp
+++ b/packages/core/base/timer_queue.cpp
@@ -38,6 +38,10 @@
         due_.erase(it);
         run();
     }
+    note_time(to);
+}
+
+void timer_queue::note_time(time_point to) {
     if (to > now_)
         now_ = to;
 }
--- a/packages/core/base/timer_queue.h
+++ b/packages/core/base/timer_queue.h
@@ -53,6 +53,12 @@
      */
     void advance_to(time_point to);
 
+    /**
+     * Moves the clock without running anything: what has come due runs at the next advance.
+     * @param to the new time; an earlier time than now() leaves the clock where it is
+     */
+    void note_time(time_point to);
+
     /** Sets the hook that is called when the earliest callback has become earlier. */
     void set_rearm_hook(callback hook) { rearm_ = std::move(hook); }
 
--- a/packages/net/socket_poller.cpp
+++ b/packages/net/socket_poller.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr int max_events_per_turn = 64; ///< the rest waits for the loop's next turn, behind its timers
+constexpr int max_events_per_turn = 256; ///< the rest waits for the loop's next turn, behind its timers
 
 // NOLINTNEXTLINE(cppcoreguidelines-avoid-non-const-global-variables): GLib takes it non-const
 GSourceFuncs fd_ready_functions{nullptr,
@@ -71,14 +71,18 @@
     g_source_set_callback(
         source_,
         [](gpointer self) -> gboolean {
-            static_cast<socket_poller*>(self)->dispatch();
+            auto* poller = static_cast<socket_poller*>(self);
+            poller->dispatch();
+            poller->clock_.sync();
             return G_SOURCE_CONTINUE;
         },
         this, nullptr);
     g_source_attach(source_, nullptr);
+    clock_.set_before_timers([this] { dispatch(); });
 }
 
 socket_poller::~socket_poller() {
+    clock_.set_before_timers(nullptr);
     g_source_destroy(source_);
     g_source_unref(source_);
 }
@@ -119,7 +123,7 @@
     const int count = ::epoll_wait(epoll_.get(), ready.data(), max_events_per_turn, 0);
     if (count <= 0)
         return;
-    clock_.sync();
+    clock_.read();
     for (int n = 0; n < count; ++n) {
         const epoll_event& it = ready.at(static_cast<std::size_t>(n));
         const auto place = static_cast<std::size_t>(it.data.u64 & 0xffff'ffffU);
--- a/packages/net/socket_poller.h
+++ b/packages/net/socket_poller.h
@@ -66,7 +66,7 @@
  */
 class socket_poller {
 public:
-    /** @param clock read once before each batch of handlers */
+    /** @param clock read once before each batch of handlers; runs what is due after them */
     explicit socket_poller(loop_clock& clock);
     socket_poller(const socket_poller&) = delete;
     socket_poller& operator=(const socket_poller&) = delete;
--- a/packages/runtime/loop_clock.cpp
+++ b/packages/runtime/loop_clock.cpp
@@ -57,7 +57,10 @@
 }
 
 gboolean loop_clock::on_timeout(gpointer self) {
-    static_cast<loop_clock*>(self)->sync();
+    auto* clock = static_cast<loop_clock*>(self);
+    if (clock->before_timers_)
+        clock->before_timers_();
+    clock->sync();
     return G_SOURCE_CONTINUE;
 }
 
--- a/packages/runtime/loop_clock.h
+++ b/packages/runtime/loop_clock.h
@@ -1,11 +1,19 @@
 /** @file loop_clock.h Moves a timer queue with the GLib main loop. */
 #pragma once
 
+#include <functional>
+#include <utility>
+
 #include "core/base/timer_queue.h"
 #include "runtime/glib_ptr.h"
 
 namespace pollengrade {
 
+/** @return the monotonic time now. */
+[[nodiscard]] time_point monotonic_now();
+/** @return the wall time now. */
+[[nodiscard]] wall_time wall_now();
+
 /** The process's clock: monotonic time, read each time the loop wakes. */
 class loop_clock {
 public:
@@ -25,6 +33,15 @@
      */
     void sync();
 
+    /** Reads the time only: for callbacks that what is due must not overtake. */
+    void read() { timers_.note_time(monotonic_now()); }
+
+    /**
+     * Sets what is done before timers that woke the loop are run: a process that was kept from running has
+     * both overdue timers and unread replies, and the replies decide what the timers do.
+     */
+    void set_before_timers(std::function<void()> hook) { before_timers_ = std::move(hook); }
+
 private:
     void rearm();
     static gboolean on_timeout(gpointer self);
@@ -33,11 +50,7 @@
     GSource* source_;      ///< wakes the loop at the earliest deadline
     gint64 armed_at_ = -1; ///< the ready time set on the source; -1 for never
     bool syncing_ = false; ///< whether sync() is on the call stack
+    std::function<void()> before_timers_; ///< see set_before_timers()
 };
 
-/** @return the monotonic time now. */
-[[nodiscard]] time_point monotonic_now();
-/** @return the wall time now. */
-[[nodiscard]] wall_time wall_now();
-
 } // namespace pollengrade
