Change: queries of a large fleet are handed over however many connections servers take, to holders beside the servers

Cause: holders were only used where a server takes fewer than two connections a node. Holders were picked in every failure domain, also where no server stands, and assumed at least eight nodes to share with, so that two holders of 10 connections had one each. Ruled out: a share of connections that is too small; there were nine a node. Change: a fleet of twice as many nodes as there may be holders has holders; they are picked in failure domains with servers of at least half of the shards; holders share by their number and a quarter more; the holders are computed at most each 200 ms, at start and when nodes or servers come and go, no more for each node alone; a service's servers are found by its name and not by a walk over all. Figures: new tests failed to build before.

--- a/packages/core/cluster/holders.cpp
+++ b/packages/core/cluster/holders.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <limits>
 #include <set>
 #include <tuple>
@@ -18,6 +19,8 @@
 constexpr std::size_t holders_per_domain = 2; ///< one may be lost, paused or restarted
 constexpr std::size_t wanted_share = 4;       ///< connections a holder needs for the queries of many nodes
 constexpr std::size_t reserved = 2;           ///< nodes that hold connections by another view of the nodes
+constexpr std::size_t crowd = 2; ///< times as many nodes as holders: most nodes' connections would rest
+constexpr std::size_t least_domains = 2; ///< that holders are picked from: one may be lost
 
 std::uint64_t hash_of(std::string_view group, const node_address& node) {
     const std::string text = std::string{group} + '\0' + node.value();
@@ -53,8 +56,9 @@
 
 } // namespace
 
-bool needs_holders(std::uint32_t max_connections, std::size_t nodes) {
-    return max_connections / (nodes + reserved) < least_share;
+bool needs_holders(std::uint32_t max_connections, std::size_t nodes, std::size_t domains) {
+    return max_connections / (nodes + reserved) < least_share ||
+           nodes >= crowd * domains * holders_per_domain;
 }
 
 std::size_t wanted_holders(std::uint32_t max_connections, std::size_t domains) {
@@ -90,32 +94,63 @@
     return picked;
 }
 
-void holder_table::update(const route_table_ptr& routes, std::span<const member> nodes) {
+std::set<failure_domain> domains_near(std::span<const service_name> shards, const server_places& places,
+                                      std::span<const member> nodes) {
+    std::map<failure_domain, std::size_t> shards_in; // Of domains that have nodes.
+    for (const member& it : nodes)
+        shards_in[it.domain] = 0;
+    for (const service_name& shard : shards) {
+        const auto known = places.find(shard);
+        if (known == places.end())
+            continue;
+        for (const auto& [domain, servers] : known->second) {
+            if (const auto it = shards_in.find(domain); it != shards_in.end())
+                ++it->second;
+        }
+    }
+    std::vector<std::pair<failure_domain, std::size_t>> ranked{shards_in.begin(), shards_in.end()};
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [](const auto& a, const auto& b) { return a.second > b.second; });
+    std::set<failure_domain> near;
+    for (const auto& [domain, count] : ranked) {
+        const bool has_most = count * 2 >= shards.size();
+        if (count > 0 && (has_most || near.size() < least_domains))
+            near.insert(domain);
+    }
+    if (!near.empty())
+        return near;
+    for (const auto& [domain, count] : shards_in)
+        near.insert(domain);
+    return near;
+}
+
+void holder_table::update(const route_table_ptr& routes, std::span<const member> nodes,
+                          const server_places& places) {
     groups_.clear();
     group_of_.clear();
     shared_by_all_.clear();
     nodes_ = static_cast<std::uint32_t>(std::max<std::size_t>(1, nodes.size()));
     if (!routes)
         return;
-    std::set<failure_domain> domains;
-    for (const member& it : nodes)
-        domains.insert(it.domain);
     for (const auto& [key, name] : names_of_groups(*routes)) {
         std::uint32_t connections = std::numeric_limits<std::uint32_t>::max();
         for (const service_name& it : key)
             connections = std::min(connections, routes->services().at(it).max_connections);
-        if (!needs_holders(connections, nodes.size()))
+        const std::set<failure_domain> near = domains_near(key, places, nodes);
+        if (!needs_holders(connections, nodes.size(), near.size()))
             continue;
+        std::vector<member> candidates;
+        std::copy_if(nodes.begin(), nodes.end(), std::back_inserter(candidates),
+                     [&near](const member& it) { return near.contains(it.domain); });
         group& it = groups_[key];
-        it.holders = pick_holders(name, nodes, wanted_holders(connections, domains.size()));
+        it.holders = pick_holders(name, candidates, wanted_holders(connections, near.size()));
         it.has_self = std::find(it.holders.begin(), it.holders.end(), self_) != it.holders.end();
         for (const service_name& service : key)
             group_of_[service] = key;
     }
     const std::set<service_name> named = named_services(*routes);
     for (const auto& [name, service] : routes->services()) {
-        if (!group_of_.contains(name) &&
-            (named.contains(name) || !needs_holders(service.max_connections, nodes.size())))
+        if (!group_of_.contains(name) && (named.contains(name) || groups_.empty()))
             shared_by_all_.insert(name);
     }
 }
--- a/packages/core/cluster/holders.h
+++ b/packages/core/cluster/holders.h
@@ -13,17 +13,20 @@
 #include "core/base/id_type.h"
 #include "core/cluster/member_type.h"
 #include "core/config/route_table.h"
+#include "core/config/server_entry.h"
 
 namespace pollengrade {
 
 /**
- * Load it answers: hundreds of nodes before servers that take tens of connections. A node with less than two
- * connections to each server serves one query at a time and learns too little of each server.
+ * Load it answers: hundreds of nodes before servers that take tens of connections, and many nodes that each
+ * see few queries of many shards. A node with less than two connections to each server serves one query at a
+ * time; one that seldom uses its connections finds them closed, and learns too little of each server.
  * @param max_connections that one server takes from all nodes
  * @param nodes that are running
+ * @param domains failure domains that may have holders
  * @return whether only some nodes, the holders, are to connect to such servers
  */
-[[nodiscard]] bool needs_holders(std::uint32_t max_connections, std::size_t nodes);
+[[nodiscard]] bool needs_holders(std::uint32_t max_connections, std::size_t nodes, std::size_t domains);
 
 /**
  * @param max_connections that one server takes from all nodes
@@ -43,6 +46,19 @@
 [[nodiscard]] std::vector<node_address> pick_holders(std::string_view group, std::span<const member> nodes,
                                                      std::size_t count);
 
+/**
+ * Load it answers: replies of all shards of all queries, whose bytes between failure domains are paid for. A
+ * holder beside the servers receives them within its domain and sends on the merged answer alone.
+ * @param shards that are asked together
+ * @param places of all servers
+ * @param nodes the candidates
+ * @return the failure domains that holders are picked from: those with servers of at least half of the
+ * shards, and never one alone where servers stand in more; all that have nodes when no server is known
+ */
+[[nodiscard]] std::set<failure_domain> domains_near(std::span<const service_name> shards,
+                                                    const server_places& places,
+                                                    std::span<const member> nodes);
+
 /** The holders of every gather route, as this node sees them. Two nodes may differ; that costs connections.
  */
 class holder_table {
@@ -54,19 +70,24 @@
      * Computes the holders anew.
      * @param routes in force; null for none
      * @param nodes that are running, this one included
+     * @param places of the servers known
      */
-    void update(const route_table_ptr& routes, std::span<const member> nodes);
+    void update(const route_table_ptr& routes, std::span<const member> nodes, const server_places& places);
 
     /** @return the holders of a gather route's shards; empty when every node holds them. */
     [[nodiscard]] std::span<const node_address> holders_of(const route& via) const;
     /**
-     * @return whether this node keeps connections to the servers of a service. Where these take fewer
-     * connections than all nodes need and no route names the service, holders alone connect: an index that is
-     * cut anew is described before its routes name it, and for a while after they do not any more.
+     * @return whether this node keeps connections to the servers of a service. Where some groups are divided
+     * and no route names the service, holders alone connect: an index that is cut anew is described before
+     * its routes name it, and for a while after they do not any more.
      */
     [[nodiscard]] bool holds(const service_name& service) const;
     /** @return nodes that share the connections of a service's servers. */
     [[nodiscard]] std::uint32_t sharing(const service_name& service) const;
+    /** @return whether these are holders: all nodes pick the same ones, and no others join. */
+    [[nodiscard]] bool is_held_by_few(const service_name& service) const {
+        return is_divided() && !shared_by_all_.contains(service);
+    }
     /** @return whether only some nodes hold some connections; only these then watch the platform's store. */
     [[nodiscard]] bool is_divided() const noexcept { return !groups_.empty(); }
     /** @return the nodes that hold the connections of any group. */
--- a/packages/core/config/server_entry.h
+++ b/packages/core/config/server_entry.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include "core/base/id_type.h"
@@ -24,6 +25,9 @@
     friend bool operator==(const server_entry&, const server_entry&) = default;
 };
 
+/** In which failure domains each service has servers, and how many. */
+using server_places = std::map<service_name, std::map<failure_domain, std::uint32_t>>;
+
 /** @return what names this life of the server. */
 [[nodiscard]] inline upstream_id id_of(const server_entry& it) {
     return upstream_id{it.name + "@" + std::to_string(it.started_ms)};
--- a/packages/core/upstreams/server_pool.cpp
+++ b/packages/core/upstreams/server_pool.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint32_t least_nodes = 6; ///< assumed while few are known: all may be starting
 constexpr std::uint32_t reserved_nodes =
     2; ///< that may join, or whose connections are not yet known to be dead
+constexpr std::uint32_t nodes_a_replacement =
+    4; ///< of few nodes: for as many, one replaced by another may still have its connections
 constexpr std::uint32_t max_waiting = 16;        ///< attempts that wait for each server
 constexpr std::uint32_t unknown_connections = 1; ///< of a service that the routes do not describe
 
@@ -49,20 +51,24 @@
 void server_pool::on_nodes_changed() {
     if (settling_)
         await_settling();
-    publish_all();
 }
 
-std::uint32_t connection_share_after_start(std::uint32_t max_connections, std::uint32_t nodes) {
-    const std::uint32_t each = max_connections / std::max(nodes, least_nodes);
-    return std::max(1U, each - std::min(each, connection_share(max_connections, nodes)));
+std::uint32_t connection_share_after_start(std::uint32_t max_connections, std::uint32_t nodes,
+                                           sharing_form form) {
+    const std::uint32_t sharing =
+        std::max(nodes, form == sharing_form::few ? std::uint32_t{1} : least_nodes);
+    const std::uint32_t each = max_connections / sharing;
+    return std::max(1U, each - std::min(each, connection_share(max_connections, nodes, form)));
 }
 
-std::uint32_t assumed_nodes(std::uint32_t nodes) {
+std::uint32_t assumed_nodes(std::uint32_t nodes, sharing_form form) {
+    if (form == sharing_form::few)
+        return nodes + (nodes + nodes_a_replacement - 1) / nodes_a_replacement;
     return std::max(nodes, least_nodes) + reserved_nodes;
 }
 
-std::uint32_t connection_share(std::uint32_t max_connections, std::uint32_t nodes) {
-    return std::max(1U, max_connections / assumed_nodes(nodes));
+std::uint32_t connection_share(std::uint32_t max_connections, std::uint32_t nodes, sharing_form form) {
+    return std::max(1U, max_connections / assumed_nodes(nodes, form));
 }
 
 replica_set_name set_of(const service_name& service) {
@@ -74,35 +80,51 @@
     const std::uint32_t most = known == max_connections_.end() ? unknown_connections : known->second;
     const connection_plan plan = plan_(entry.service);
     const std::uint32_t share =
-        just_started_ ? connection_share_after_start(most, plan.nodes) : connection_share(most, plan.nodes);
+        just_started_ ? connection_share_after_start(most, plan.nodes, plan.form)
+                      : connection_share(most, plan.nodes, plan.form);
     servers_.put_server({id_of(entry), entry.address, entry.domain, entry.name},
                         {share, entry.slots, plan.is_kept && !settling_});
 }
 
 void server_pool::publish_set(const service_name& service) {
-    std::vector<upstream_id> members;
-    for (const auto& [id, entry] : entries_) {
-        if (entry.service == service)
-            members.push_back(id);
-    }
-    servers_.set_members(set_of(service), std::move(members), max_waiting);
+    servers_.set_members(set_of(service), members_[service], max_waiting);
 }
 
-void server_pool::on_entry(const server_entry& entry, bool removed) {
+bool server_pool::on_entry(const server_entry& entry, bool removed) {
     const upstream_id id = id_of(entry);
     if (removed) {
         entries_.erase(id);
+        std::erase(members_[entry.service], id);
         servers_.remove_server(id);
         publish_set(entry.service);
-        return;
+        return true;
+    }
+    const auto known = entries_.find(id);
+    const bool is_new = known == entries_.end();
+    const bool has_moved =
+        is_new || known->second.service != entry.service || known->second.domain != entry.domain;
+    if (!is_new && known->second.service != entry.service) {
+        std::erase(members_[known->second.service], id);
+        publish_set(known->second.service);
     }
-    const bool is_new = !entries_.contains(id);
+    if (is_new || known->second.service != entry.service)
+        members_[entry.service].push_back(id);
     entries_[id] = entry;
     publish(entry);
-    if (is_new)
+    if (has_moved)
         publish_set(entry.service);
     if (entry.is_leaving)
         servers_.note_leaving(id, {});
+    return has_moved;
+}
+
+server_places server_pool::places() const {
+    server_places places;
+    for (const auto& [id, entry] : entries_) {
+        if (!entry.is_leaving)
+            ++places[entry.service][entry.domain];
+    }
+    return places;
 }
 
 void server_pool::on_routes(const route_table& table) {
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t document_push_fanout = 4; ///< nodes that a document is pushed on to: not all watch
 constexpr std::size_t divided_push_fanout = 2; ///< nodes that routes are pushed on to; a difference is pulled
 constexpr duration announce_delay = std::chrono::milliseconds{300}; ///< changes of servers come in bursts
+constexpr duration live_rest = std::chrono::milliseconds{200}; ///< nodes come and go many at a time
 constexpr duration peer_ask_period =
     std::chrono::milliseconds{500}; ///< while configuration is not complete, or the platform does not answer
 
@@ -41,6 +42,7 @@
               make_spread_hooks()},
       registry_{clock.timers(), counts, servers, make_registry_hooks()}, server_{clock, log,
                                                                                  make_peer_hooks()},
+      live_update_{clock.timers(), live_rest, [this] { hooks_.live_changed(membership_.live_members()); }},
       address_{settings.peers}, is_routed_{settings.form == interface_form::routes} {}
 
 membership_hooks cluster::make_membership_hooks() {
@@ -64,7 +66,7 @@
         spread_.on_greeting(from);
         registry_.on_greeting(from);
     };
-    it.changed = [this] { hooks_.live_changed(membership_.live_members()); };
+    it.changed = [this] { live_update_.ask(); };
     return it;
 }
 
--- a/packages/daemon/route_front.cpp
+++ b/packages/daemon/route_front.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::size_t max_caller_connections = 3000; ///< under the descriptors that a VM allows a process
 constexpr std::size_t max_balancer_connections = 16;
+/** Between two computations of the holders: nodes and servers come and go many at a time. */
+constexpr duration holders_rest = std::chrono::milliseconds{200};
 constexpr duration idle_check_period = std::chrono::milliseconds{20}; ///< while replies are being written
 
 /** Before any routes are known: enough to read a request and refuse it. */
@@ -26,9 +28,11 @@
 
 route_front::route_front(const node_settings& settings, socket_poller& poller, run_context context,
                          const std::function<std::uint64_t()>& random, delegation_hooks network,
-                         std::function<void()> behind)
+                         std::function<void()> behind, std::function<void()> duty_changed)
     : self_{settings.peers}, callers_address_{settings.callers}, readiness_address_{settings.readiness},
       budget_{settings.budget}, context_{context}, holders_{settings.peers},
+      holders_update_{context.timers, holders_rest, [this] { compute_holders(); }},
+      duty_changed_{std::move(duty_changed)},
       forwarder_{context,
                  random,
                  settings.domain,
@@ -42,7 +46,8 @@
                  std::move(network)},
       pool_{context.timers, context.servers,
             [this](const service_name& service) {
-                return connection_plan{holders_.sharing(service), holders_.holds(service)};
+                return connection_plan{holders_.sharing(service), holders_.holds(service),
+                                       form_of(service)};
             }},
       callers_{poller,
                context.timers,
@@ -62,15 +67,26 @@
     // One node's share of what all may send together. Where some nodes hold a service's connections, they do
     // nearly all the sending: the others' share is only what their own few requests earn.
     constexpr double headroom = 0.9; // Windows are cut differently where they are counted.
-    const double slack =
-        holders_.holds(service) ? budget_.slack / assumed_nodes(holders_.sharing(service)) : 0;
+    const double slack = holders_.holds(service)
+                             ? budget_.slack / assumed_nodes(holders_.sharing(service), form_of(service))
+                             : 0;
     return {budget_.ratio * headroom, slack * headroom, budget_.window};
 }
 
-void route_front::update_holders() {
-    holders_.update(forwarder_.table(), nodes_);
-    pool_.on_nodes_changed();
+sharing_form route_front::form_of(const service_name& service) const {
+    return holders_.is_held_by_few(service) ? sharing_form::few : sharing_form::all_nodes;
+}
+
+void route_front::compute_holders() {
+    holders_.update(forwarder_.table(), nodes_, pool_.places());
+    pool_.on_plan_changed();
     forwarder_.refresh_budgets();
+    duty_changed_();
+}
+
+void route_front::on_server(const server_entry& entry, bool removed) {
+    if (pool_.on_entry(entry, removed))
+        holders_update_.ask();
 }
 
 tl::expected<void, listen_error> route_front::listen() {
@@ -91,7 +107,7 @@
         return false;
     }
     if (forwarder_.apply(*table)) {
-        holders_.update(*table, nodes_);
+        holders_.update(*table, nodes_, pool_.places());
         pool_.on_routes(**table);
         forwarder_.refresh_budgets();
     }
@@ -100,7 +116,8 @@
 
 void route_front::on_nodes(std::span<const member> nodes) {
     nodes_.assign(nodes.begin(), nodes.end());
-    update_holders();
+    compute_holders();
+    pool_.on_nodes_changed();
 }
 
 bool route_front::is_ready() const {
--- a/packages/daemon/route_front.h
+++ b/packages/daemon/route_front.h
@@ -3,6 +3,7 @@
 
 #include <unordered_map>
 
+#include "core/base/paced_action.h"
 #include "core/cluster/holders.h"
 #include "core/config/node_settings.h"
 #include "core/queries/forwarder.h"
@@ -22,14 +23,15 @@
      * @param random random numbers
      * @param network calls to other nodes
      * @param behind called when another node knows later routes
+     * @param duty_changed called when other nodes than before may be the holders
      */
     route_front(const node_settings& settings, socket_poller& poller, run_context context,
                 const std::function<std::uint64_t()>& random, delegation_hooks network,
-                std::function<void()> behind);
+                std::function<void()> behind, std::function<void()> duty_changed);
 
     tl::expected<void, listen_error> listen() override;
     bool apply(const config_entry& entry) override;
-    void on_server(const server_entry& entry, bool removed) override { pool_.on_entry(entry, removed); }
+    void on_server(const server_entry& entry, bool removed) override;
     void on_nodes(std::span<const member> nodes) override;
     [[nodiscard]] bool is_divided() const override { return holders_.is_divided(); }
     [[nodiscard]] std::vector<node_address> duty_nodes() const override { return holders_.all_holders(); }
@@ -50,8 +52,9 @@
     void on_request(exchange_id id, request_message message);
     void on_gone(exchange_id id);
     [[nodiscard]] caller_limits limits() const;
+    [[nodiscard]] sharing_form form_of(const service_name& service) const;
     [[nodiscard]] load_budget_limits budget_of(const service_name& service) const;
-    void update_holders();
+    void compute_holders();
     void end_when_idle();
 
     node_address self_;                            ///< this node among the others
@@ -61,6 +64,8 @@
     run_context context_;                          ///< what requests share
     std::vector<member> nodes_;                    ///< that are running
     holder_table holders_;                         ///< which of them hold which connections
+    paced_action holders_update_;                  ///< compute_holders(), not for each node or server alone
+    std::function<void()> duty_changed_;           ///< see route_front()
     forwarder forwarder_;                          ///< routes and running requests
     server_pool pool_;                             ///< the servers of routed services
     std::unordered_map<exchange_id, run_id> runs_; ///< of requests not answered yet
--- a/tests/core/cluster/holders_test.cpp
+++ b/tests/core/cluster/holders_test.cpp
@@ -67,9 +67,59 @@
 } // namespace
 
 TEST_CASE("holders: a few nodes before servers of many connections all connect") {
-    CHECK_FALSE(needs_holders(16, 6));
-    CHECK(needs_holders(16, 7));
-    CHECK(needs_holders(16, 560));
+    CHECK_FALSE(needs_holders(16, 6, 3));
+    CHECK(needs_holders(16, 7, 3));
+    CHECK(needs_holders(16, 560, 3));
+}
+
+TEST_CASE("holders: many nodes that each see few queries hand them over, however many connections there are") {
+    CHECK_FALSE(needs_holders(2000, 11, 3));
+    CHECK(needs_holders(2000, 12, 3));
+    CHECK_FALSE(needs_holders(2000, 19, 5));
+    CHECK(needs_holders(2000, 20, 5));
+}
+
+TEST_CASE("holders: picked beside the servers, never in one failure domain alone") {
+    const auto nodes = nodes_of(30); // Three domains.
+    const std::vector<service_name> shards{service_name{"s0"}, service_name{"s1"}, service_name{"s2"}};
+    const failure_domain d0{"d0"};
+    const failure_domain d1{"d1"};
+    const failure_domain d2{"d2"};
+    const failure_domain far{"without nodes"};
+    server_places places;
+    CHECK(domains_near(shards, places, nodes) == std::set<failure_domain>{d0, d1, d2});
+    for (const service_name& it : shards)
+        places[it] = {{d0, 1}, {d2, 2}, {far, 9}};
+    CHECK(domains_near(shards, places, nodes) == std::set<failure_domain>{d0, d2});
+    // One lost server of a domain does not move the holders; the loss of most does.
+    places[shards[0]].erase(d2);
+    CHECK(domains_near(shards, places, nodes) == std::set<failure_domain>{d0, d2});
+    places[shards[0]][d1] = 1;
+    places[shards[1]] = {{d0, 1}, {d1, 1}};
+    CHECK(domains_near(shards, places, nodes) == std::set<failure_domain>{d0, d1});
+    // All servers in one domain: a second one, if any server is there.
+    for (const service_name& it : shards)
+        places[it] = {{d0, 3}};
+    CHECK(domains_near(shards, places, nodes) == std::set<failure_domain>{d0});
+    places[shards[2]][d1] = 1;
+    CHECK(domains_near(shards, places, nodes) == std::set<failure_domain>{d0, d1});
+}
+
+TEST_CASE("holders: a fleet's queries go to holders that have servers in their failure domain") {
+    const auto nodes = nodes_of(60);
+    const auto routes = table_of(1, {"s0", "s1"}, 500);
+    server_places places;
+    places[service_name{"s0"}] = {{failure_domain{"d0"}, 1}, {failure_domain{"d1"}, 1}};
+    places[service_name{"s1"}] = {{failure_domain{"d0"}, 1}, {failure_domain{"d1"}, 1}};
+    holder_table table{nodes.front().address};
+    table.update(routes, nodes, places);
+    const auto held = holders_in(table, routes);
+    CHECK(held.size() == 4);
+    for (const member& it : nodes) {
+        if (std::find(held.begin(), held.end(), it.address) != held.end())
+            CHECK(it.domain != failure_domain{"d2"});
+    }
+    CHECK(table.is_held_by_few(service_name{"s0"}));
 }
 
 TEST_CASE("holders: two a failure domain, fewer where a server takes too few connections") {
@@ -132,14 +182,14 @@
     const auto nodes = nodes_of(40);
     holder_table table{nodes.front().address};
     const auto before = table_of(1, {"s0", "s1"}, 16);
-    table.update(before, nodes);
+    table.update(before, nodes, {});
     const auto held = holders_in(table, before);
     CHECK(table.is_divided());
     CHECK(held.size() == 4);
     CHECK(table.all_holders().size() == 4);
 
     const auto after = table_of(2, {"t0", "t1", "t2"}, 16);
-    table.update(after, nodes);
+    table.update(after, nodes, {});
     CHECK(holders_in(table, after) == held);
 }
 
@@ -150,7 +200,7 @@
     for (const member& self : nodes) {
         holder_table table{self.address};
         CHECK(table.is_holder()); // Before anything is known every node may serve.
-        table.update(routes, nodes);
+        table.update(routes, nodes, {});
         const auto held = holders_in(table, routes);
         const bool is_one = std::find(held.begin(), held.end(), self.address) != held.end();
         holders += is_one ? 1 : 0;
@@ -173,10 +223,10 @@
     std::size_t connected_late = 0;
     for (const member& self : nodes) {
         holder_table table{self.address};
-        table.update(before, nodes);
+        table.update(before, nodes, {});
         connected_early += table.holds(service_name{"t0"}) ? 1U : 0U;
         CHECK(table.sharing(service_name{"t0"}) == 4);
-        table.update(after, nodes);
+        table.update(after, nodes, {});
         connected_late += table.holds(service_name{"s0"}) ? 1U : 0U;
         CHECK(table.sharing(service_name{"s0"}) == 4);
     }
@@ -202,7 +252,7 @@
     const auto both = route_table::make(std::move(parts)).value();
     for (const member& self : nodes) {
         holder_table table{self.address};
-        table.update(both, nodes);
+        table.update(both, nodes, {});
         CHECK(table.holds(service_name{"p"}));
         CHECK(table.sharing(service_name{"p"}) == nodes.size());
     }
@@ -212,7 +262,7 @@
     const auto nodes = nodes_of(6);
     const auto routes = table_of(1, {"s0", "s1"}, 16);
     holder_table table{nodes.front().address};
-    table.update(routes, nodes);
+    table.update(routes, nodes, {});
     CHECK_FALSE(table.is_divided());
     CHECK(holders_in(table, routes).empty());
     CHECK(table.holds(service_name{"s0"}));
