Change: nodes tell each other of a member about once, and mostly within their failure domain

Cause: at 300 nodes the bytes between failure domains come from what nodes tell each other. Change: a reader gives the fingerprints of what it knows and is told the rest; what stood in a list is not spread, others read it there as well; after its first reading a node reads one list in four from a seed and the others within its domain; three probes in four stay within the domain; one of a node's two tellers is of its domain.

--- a/packages/core/cluster/announce_func.h
+++ b/packages/core/cluster/announce_func.h
@@ -5,7 +5,7 @@
 #include <span>
 #include <vector>
 
-#include "core/base/id_type.h"
+#include "core/cluster/member_type.h"
 
 namespace pollengrade {
 
@@ -17,13 +17,14 @@
  * random, a few nodes hear of it seconds late, ever more of them the larger the fleet; so each node has its
  * tellers. Nodes with different views may both tell a node, or in the worst case neither: the next probes
  * make up for it.
+ * One of a node's two tellers is of its own failure domain where that has a node on duty: bytes between
+ * domains are paid for.
  * @param self a node on duty
  * @param duty all nodes on duty, this one included, in any order
  * @param live all running nodes, this one included
  * @return the nodes that this one tells; itself is never among them
  */
-[[nodiscard]] std::vector<node_address> nodes_to_tell(const node_address& self,
-                                                      std::span<const node_address> duty,
-                                                      std::span<const node_address> live);
+[[nodiscard]] std::vector<node_address> nodes_to_tell(const member& self, std::span<const member> duty,
+                                                      std::span<const member> live);
 
 } // namespace pollengrade
--- a/packages/core/cluster/membership.cpp
+++ b/packages/core/cluster/membership.cpp
@@ -5,8 +5,11 @@
 #include <array>
 #include <bit>
 #include <memory>
+#include <unordered_set>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace pollengrade {
 
 namespace {
@@ -26,6 +29,9 @@
 constexpr std::size_t leave_notices = 4;   ///< nodes told first of a graceful stop
 constexpr std::uint32_t spread_factor = 3; ///< times log2(nodes) that news is sent
 
+constexpr std::uint32_t far_probe_turn = 4;  ///< each so many probes one goes to another failure domain
+constexpr std::uint32_t seed_reading_turn = 4; ///< about each so many readings one is of a seed
+
 bool is_live(member_state it) {
     return it == member_state::alive || it == member_state::suspect;
 }
@@ -63,21 +69,47 @@
     }
 }
 
+std::uint64_t fingerprint_of(const member& it) {
+    const std::string text = it.address.value() + '\0' + std::to_string(it.life.start) + '\0' +
+                             std::to_string(it.life.refutations) + '\0' + std::string{to_string(it.state)};
+    return XXH3_64bits(text.data(), text.size());
+}
+
+std::vector<member> membership::all_but(std::span<const std::uint64_t> known) const {
+    const std::unordered_set<std::uint64_t> held{known.begin(), known.end()};
+    std::vector<member> list = all();
+    std::erase_if(list, [&held](const member& it) { return held.contains(fingerprint_of(it)); });
+    return list;
+}
+
+std::optional<node_address> membership::choose_list(std::uint32_t readings) {
+    const bool is_first = readings == 0 || others_.empty();
+    // Seeds are greeted by all that start: what some nodes read there reaches the others of their domain.
+    if (is_first || random_() % seed_reading_turn == 0)
+        return seeds_[random_() % seeds_.size()];
+    std::vector<node_address> near = live(self_.domain);
+    std::erase(near, self_.address);
+    if (!near.empty())
+        return near[random_() % near.size()];
+    const auto drawn = draw(1);
+    return drawn.empty() ? std::nullopt : std::optional{drawn.front()};
+}
+
 void membership::read_list(std::uint32_t readings) {
-    const auto known = draw(1);
-    if (seeds_.empty() || (readings >= most_readings && !known.empty()))
+    if (seeds_.empty() || (readings >= most_readings && live().size() > 1))
         return;
-    // Seeds are greeted by all that start, so the first reading is of one; then any node's list will do.
-    const bool asks_seed = known.empty() || readings == 1;
-    const node_address target = asks_seed ? seeds_[random_() % seeds_.size()] : known.front();
+    const node_address target = choose_list(readings).value_or(seeds_.front());
     ++counts_.counter("member_lists_read");
     // Greeted first: its list then holds this node for whoever reads it next.
     greet(target);
-    hooks_.list(target, [this](const std::optional<std::vector<member>>& list) {
+    std::vector<std::uint64_t> known;
+    for (const member& it : all())
+        known.push_back(fingerprint_of(it));
+    hooks_.list(target, known, [this](const std::optional<std::vector<member>>& list) {
         if (!list)
             return;
         for (const member& it : *list)
-            take(it);
+            take(it, false);
     });
     const duration pause = readings < most_readings ? reading_pause : rejoin_period;
     timers_.schedule_after(pause, [this, readings] { read_list(readings + 1); });
@@ -169,7 +201,7 @@
     news_[word.address] = spread_count();
 }
 
-void membership::take(const member& word) {
+void membership::take(const member& word, bool spreads) {
     if (word.address == self_.address) {
         // Word of this node by others: an older process is no concern, a suspicion is refuted.
         const bool is_this_life = word.life.start == self_.life.start;
@@ -189,7 +221,10 @@
     const bool was_live = it != others_.end() && is_live(it->second.state);
     const bool is_new_life = it == others_.end() || it->second.life.start != word.life.start;
     others_[word.address] = word;
-    spread(word);
+    if (spreads)
+        spread(word);
+    else
+        news_.erase(word.address); // What was being spread of it is older.
     if (was_live == is_live(word.state) && !is_new_life)
         return;
     log_.record(is_live(word.state) ? event_kind::member_joined : event_kind::member_left, {}, word.name,
@@ -243,17 +278,32 @@
 
 void membership::probe_next() {
     timers_.schedule_after(probe_period, [this] { probe_next(); });
-    if (round_.empty())
-        round_ = draw(max_members);
-    while (!round_.empty()) {
-        const node_address target = round_.back();
-        round_.pop_back();
+    const bool is_far_turn = probes_++ % far_probe_turn == 0;
+    if (!probe_next_of(is_far_turn ? far_round_ : near_round_, is_far_turn))
+        probe_next_of(is_far_turn ? near_round_ : far_round_, !is_far_turn);
+}
+
+bool membership::probe_next_of(std::vector<node_address>& round, bool is_far) {
+    if (round.empty())
+        round = make_round(is_far);
+    while (!round.empty()) {
+        const node_address target = round.back();
+        round.pop_back();
         const auto it = others_.find(target);
         if (it == others_.end() || !is_live(it->second.state))
             continue;
         probe(target);
-        return;
+        return true;
     }
+    return false;
+}
+
+std::vector<node_address> membership::make_round(bool is_far) const {
+    std::vector<node_address> round = draw(max_members);
+    std::erase_if(round, [this, is_far](const node_address& it) {
+        return (others_.at(it).domain != self_.domain) != is_far;
+    });
+    return round;
 }
 
 void membership::probe(const node_address& target) {
--- a/packages/core/cluster/membership.h
+++ b/packages/core/cluster/membership.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -24,15 +25,20 @@
 
     std::function<void(const node_address&, const greeting&, greeted)> probe;             ///< asks a node
     std::function<void(const node_address&, const node_address&, reached)> probe_through; ///< via, target
-    std::function<void(const node_address&, listed)> list; ///< reads a node's whole list
+    /** Reads what a node knows of members, but those whose fingerprints are given. */
+    std::function<void(const node_address&, const std::vector<std::uint64_t>&, listed)> list;
     std::function<void(greeting&)> add_config;             ///< fills in the configuration's part
     std::function<void(const greeting&)> greeted_by;       ///< sees every greeting taken
     std::function<void()> changed;                         ///< the nodes alive have changed
 };
 
+/** @return what stands for a member's address, life and state where two lists are compared. */
+[[nodiscard]] std::uint64_t fingerprint_of(const member& it);
+
 /**
  * This node's view of all nodes, after SWIM: each period one node is probed, through others when it does not
  * answer, then suspected, then given up on. News rides on probes, so cost a node is constant.
+ * Most probes and readings of lists stay within the failure domain: bytes between domains are paid for.
  * @see Das, Gupta, Motivala: SWIM, DSN 2002
  */
 class membership {
@@ -57,13 +63,15 @@
     /** Takes a probe. @return the reply */
     greeting on_probe(const greeting& from);
     /** Takes word of a node. */
-    void take(const member& word);
+    void take(const member& word) { take(word, true); }
 
     [[nodiscard]] const member& self() const noexcept { return self_; }
     /** @return all nodes known but this one, by address. */
     [[nodiscard]] const std::map<node_address, member>& others() const noexcept { return others_; }
     /** @return the whole list, this node included. */
     [[nodiscard]] std::vector<member> all() const;
+    /** @return the whole list but the members with these fingerprints. */
+    [[nodiscard]] std::vector<member> all_but(std::span<const std::uint64_t> known) const;
     /** @return nodes that may be relied on, this one included: alive or suspect. */
     [[nodiscard]] std::vector<node_address> live() const;
     /** The same of one failure domain. */
@@ -86,6 +94,13 @@
      * @param readings made before
      */
     void read_list(std::uint32_t readings);
+    [[nodiscard]] std::optional<node_address> choose_list(std::uint32_t readings);
+    /** @param spreads whether the word is passed on: what stood in a list, others read there as well */
+    void take(const member& word, bool spreads);
+    /** Probes the next node of a round that still lives. @return whether there was one */
+    bool probe_next_of(std::vector<node_address>& round, bool is_far);
+    /** @return live nodes of other domains or of this one, in a drawn order. */
+    [[nodiscard]] std::vector<node_address> make_round(bool is_far) const;
     void greet_seeds();
     void seek_lost();
     void probe_next();
@@ -107,7 +122,9 @@
     membership_hooks hooks_;                     ///< the network
     std::map<node_address, member> others_;      ///< all other nodes
     std::map<node_address, std::uint32_t> news_; ///< nodes whose word is still spread, and how often
-    std::vector<node_address> round_;            ///< nodes still to be probed in this round
+    std::vector<node_address> near_round_;       ///< of this domain, still to be probed in this round
+    std::vector<node_address> far_round_;        ///< the same of other domains
+    std::uint32_t probes_ = 0;                   ///< sent so far
     time_point last_heard_;                      ///< when another node was last heard of
 };
 
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -54,9 +54,8 @@
                               const membership_hooks::reached& done) {
         client_.probe_through(via, target, done);
     };
-    it.list = [this](const node_address& from, const membership_hooks::listed& done) {
-        client_.list(from, done);
-    };
+    it.list = [this](const node_address& from, const std::vector<std::uint64_t>& known,
+                     const membership_hooks::listed& done) { client_.list(from, known, done); };
     it.add_config = [this](greeting& word) {
         word.config_digest = store_.digest();
         word.config_complete = spread_.is_complete();
@@ -104,7 +103,7 @@
         client_.probe(target, word,
                       [done](const std::optional<greeting>& reply) { done(reply.has_value()); });
     };
-    it.members = [this] { return membership_.all(); };
+    it.members = [this](const std::vector<std::uint64_t>& known) { return membership_.all_but(known); };
     it.on_push = [this](const std::vector<config_entry>& entries) { spread_.take(entries); };
     it.on_pull = [this](const std::vector<config_version>& known) { return spread_.answer_pull(known); };
     it.servers_after = [this](object_version later_than) { return servers_.update_after(later_than); };
@@ -153,11 +152,20 @@
         return;
     clock_.timers().schedule_after(announce_delay, [this] {
         announcing_ = false;
-        for (const node_address& it : nodes_to_tell(address_, duty_nodes_, membership_.live()))
+        for (const node_address& it : nodes_to_tell(membership_.self(), duty_members(), membership_.live_members()))
             membership_.greet(it);
     });
 }
 
+std::vector<member> cluster::duty_members() const {
+    std::vector<member> list;
+    for (const member& it : membership_.live_members()) {
+        if (std::find(duty_nodes_.begin(), duty_nodes_.end(), it.address) != duty_nodes_.end())
+            list.push_back(it);
+    }
+    return list;
+}
+
 bool cluster::is_relay() const {
     const auto& self = membership_.self();
     const auto candidates = membership_.live(self.domain);
--- a/packages/daemon/cluster.h
+++ b/packages/daemon/cluster.h
@@ -75,6 +75,7 @@
 
 private:
     void seek_peers_configuration();
+    [[nodiscard]] std::vector<member> duty_members() const;
     membership_hooks make_membership_hooks();
     spread_hooks make_spread_hooks();
     registry_spread_hooks make_registry_hooks();
--- a/packages/peer/peer.capnp
+++ b/packages/peer/peer.capnp
@@ -85,7 +85,8 @@
   probe @0 (greeting :Greeting) -> (greeting :Greeting);
   # Probes another node for the caller.
   probeThrough @1 (target :Text) -> (reached :Bool);
-  members @2 () -> (members :List(Member));
+  # Members but those whose fingerprints the caller knows: core/cluster/membership.h.
+  members @2 (known :List(UInt64)) -> (members :List(Member));
   push @3 (entries :List(ConfigEntry)) -> ();
   pull @4 (known :List(ConfigEntry)) -> (entries :List(ConfigEntry), complete :Bool);
   # What the registry holds beyond a revision; revision 0 for nothing.
--- a/packages/peer/peer.capnp.h
+++ b/packages/peer/peer.capnp.h
@@ -252,7 +252,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c9a34026634b40cc, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c9a34026634b40cc, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1697,6 +1697,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasKnown() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getKnown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1725,6 +1728,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasKnown();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getKnown();
+  inline void setKnown( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setKnown(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initKnown(unsigned int size);
+  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownKnown();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3831,6 +3842,44 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::MembersParams::Reader::hasKnown() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::MembersParams::Builder::hasKnown() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::MembersParams::Reader::getKnown() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::MembersParams::Builder::getKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::MembersParams::Builder::setKnown( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Peer::MembersParams::Builder::setKnown(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::MembersParams::Builder::initKnown(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::MembersParams::Builder::adoptKnown(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Peer::MembersParams::Builder::disownKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::MembersResults::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/peer/peer_client.cpp
+++ b/packages/peer/peer_client.cpp
@@ -96,11 +96,16 @@
         [done](std::optional<bool> reached) { done(reached.value_or(false)); });
 }
 
-void peer_client::list(const node_address& from, const membership_hooks::listed& done) {
+void peer_client::list(const node_address& from, const std::vector<std::uint64_t>& known,
+                       const membership_hooks::listed& done) {
     call<std::vector<member>>(
         from, transfer_limit,
-        [](wire::Peer::Client& peer) {
-            return peer.membersRequest().send().then([](capnp::Response<wire::Peer::MembersResults>&& reply) {
+        [known](wire::Peer::Client& peer) {
+            auto request = peer.membersRequest();
+            auto list = request.initKnown(static_cast<unsigned>(known.size()));
+            for (unsigned n = 0; n < list.size(); ++n)
+                list.set(n, known[n]);
+            return request.send().then([](capnp::Response<wire::Peer::MembersResults>&& reply) {
                 return std::optional{read_members(reply.getMembers())};
             });
         },
--- a/packages/peer/peer_client.h
+++ b/packages/peer/peer_client.h
@@ -31,7 +31,8 @@
     void probe(const node_address& to, const greeting& word, const membership_hooks::greeted& done);
     void probe_through(const node_address& via, const node_address& target,
                        const membership_hooks::reached& done);
-    void list(const node_address& from, const membership_hooks::listed& done);
+    void list(const node_address& from, const std::vector<std::uint64_t>& known,
+              const membership_hooks::listed& done);
     void push(const node_address& to, const std::vector<config_entry>& entries);
     void pull(const node_address& from, const std::vector<config_version>& known,
               const spread_hooks::pulled& done);
--- a/packages/peer/peer_server.cpp
+++ b/packages/peer/peer_server.cpp
@@ -45,7 +45,10 @@
 
     kj::Promise<void> members(MembersContext context) override {
         clock_.sync();
-        const auto list = hooks_.members();
+        std::vector<std::uint64_t> known;
+        for (const std::uint64_t it : context.getParams().getKnown())
+            known.push_back(it);
+        const auto list = hooks_.members(known);
         auto out = context.getResults().initMembers(static_cast<unsigned>(list.size()));
         for (unsigned n = 0; n < out.size(); ++n)
             write_member(list[n], out[n]);
--- a/packages/peer/peer_server.h
+++ b/packages/peer/peer_server.h
@@ -24,7 +24,8 @@
 struct peer_hooks {
     std::function<greeting(const greeting&)> on_probe;                                    ///< takes a probe
     std::function<void(const node_address&, const membership_hooks::reached&)> probe_for; ///< probes a target
-    std::function<std::vector<member>()> members;                                         ///< the whole list
+    /** @return all members but those whose fingerprints are given. */
+    std::function<std::vector<member>(const std::vector<std::uint64_t>&)> members;
     std::function<void(const std::vector<config_entry>&)> on_push;                        ///< takes objects
     std::function<pull_reply(const std::vector<config_version>&)> on_pull;                ///< gives objects
     std::function<registry_update(object_version)> servers_after; ///< what a peer lacks of the registry
--- a/tests/core/cluster/cluster_logic_test.cpp
+++ b/tests/core/cluster/cluster_logic_test.cpp
@@ -68,6 +68,9 @@
     void pass(duration span) { timers_.advance_to(timers_.now() + span); }
     void cut(std::size_t index) { cut_.insert(address_of(index)); }
     void heal() { cut_.clear(); }
+    /** Counts words of members that nodes have sent each other. */
+    void count_words(std::size_t count) { words_ += count; }
+    [[nodiscard]] std::size_t words() const noexcept { return words_; }
 
     /** Delivers a call to a node, unless it is lost; calls back with nothing after the limit then. */
     template <typename Result>
@@ -94,14 +97,22 @@
     std::uint64_t loss_percent_;
     std::map<node_address, std::unique_ptr<cluster_node>> nodes_;
     std::vector<std::unique_ptr<cluster_node>> retired_; ///< killed ones; their timers may still run
+    std::size_t words_ = 0;                              ///< see count_words()
     std::set<node_address> cut_;                         ///< nodes that no message reaches or leaves
 };
 
 membership_hooks make_hooks(small_cluster& world, cluster_node& node) {
     membership_hooks it;
     it.probe = [&](const node_address& to, const greeting& word, const membership_hooks::greeted& done) {
+        world.count_words(word.updates.size());
         world.call<greeting>(
-            node, to, [word](cluster_node& other) { return other.nodes.on_probe(word); }, done);
+            node, to,
+            [&world, word](cluster_node& other) {
+                greeting reply = other.nodes.on_probe(word);
+                world.count_words(reply.updates.size());
+                return reply;
+            },
+            done);
     };
     it.probe_through = [&](const node_address& via, const node_address& target,
                            const membership_hooks::reached& done) {
@@ -118,9 +129,16 @@
                     [done](std::optional<bool> there) { done(there.has_value()); });
             });
     };
-    it.list = [&](const node_address& from, const membership_hooks::listed& done) {
+    it.list = [&](const node_address& from, const std::vector<std::uint64_t>& known,
+                  const membership_hooks::listed& done) {
         world.call<std::vector<member>>(
-            node, from, [](cluster_node& other) { return other.nodes.all(); }, done);
+            node, from,
+            [&world, known](cluster_node& other) {
+                auto list = other.nodes.all_but(known);
+                world.count_words(list.size());
+                return list;
+            },
+            done);
     };
     it.add_config = [&](greeting& word) {
         word.config_digest = node.store.digest();
@@ -215,6 +233,20 @@
     }
 }
 
+TEST_CASE("300 nodes that start together tell each node of each other about once, and soon know each other") {
+    constexpr std::size_t size = 300;
+    small_cluster world{0, 1, 0};
+    for (std::size_t n = 0; n < size; ++n) {
+        world.add(n, 1);
+        world.pass(std::chrono::milliseconds{1});
+    }
+    world.pass(std::chrono::milliseconds{1700});
+    for (std::size_t n = 0; n < size; ++n)
+        CHECK(world.at(n).nodes.live().size() == size);
+    world.pass(std::chrono::seconds{10});
+    CHECK(world.words() < 3 * size * size);
+}
+
 TEST_CASE("a node that joins a running cluster soon knows it, and does not go on asking") {
     small_cluster world{24, 8, 0};
     world.pass(std::chrono::seconds{20});
