Change: configuration spreads within failure domains first; a domain's holders have half a core together

A version's text goes whole to two nodes drawn at random from each that takes it, and is pulled from whoever greets with another digest: with versions in a row that is hundreds of nodes times tens of kilobytes times each version. Two holders a domain were too few where VMs have 0.12 of a core. Ruled out: smaller texts; every node needs the version in force. Change: where holders read the platform for all, news is pushed and pulled within the domain, and from another one only when the own has not brought it within 700 ms; nodes without any configuration still take it from anywhere. A domain has two holders, more until they have half a core together, as far as servers take connections; a fleet has holders when it is twice as many.

--- a/packages/core/cluster/config_spread.cpp
+++ b/packages/core/cluster/config_spread.cpp
@@ -10,12 +10,13 @@
 namespace {
 
 constexpr std::uint32_t max_pull_retries = 3; ///< other peers asked after a lost pull
+constexpr duration near_time = std::chrono::milliseconds{700}; ///< news has spread in a domain by then
 
 } // namespace
 
-config_spread::config_spread(config_store& store, metrics& counts, std::size_t push_fanout,
-                             spread_hooks hooks)
-    : store_{store}, counts_{counts}, push_fanout_{push_fanout}, hooks_{std::move(hooks)} {}
+config_spread::config_spread(timer_queue& timers, config_store& store, metrics& counts,
+                             std::size_t push_fanout, spread_hooks hooks)
+    : timers_{timers}, store_{store}, counts_{counts}, push_fanout_{push_fanout}, hooks_{std::move(hooks)} {}
 
 void config_spread::take(const std::vector<config_entry>& entries) {
     std::vector<config_entry> news;
@@ -28,22 +29,41 @@
     }
     if (news.empty())
         return;
-    for (const node_address& it : hooks_.draw(push_fanout_)) {
+    for (const node_address& it : near_ ? hooks_.draw_near(push_fanout_) : hooks_.draw(push_fanout_)) {
         ++counts_.counter("config_pushes_sent");
         hooks_.push(it, news);
     }
 }
 
 void config_spread::on_greeting(const greeting& from) {
-    if (from.config_digest != store_.digest() || (from.config_complete && !complete_)) {
-        if (!pulling_)
-            retries_left_ = max_pull_retries;
-        pull(from.sender.address);
+    if (!lacks(from))
+        return;
+    // A node without any configuration serves nobody: it takes it from wherever it is.
+    if (!near_ || !complete_ || !hooks_.is_far(from.sender.address)) {
+        begin_pull(from.sender.address);
+        return;
     }
+    if (doubt_)
+        return;
+    doubt_ = timers_.schedule_after(near_time, [this, from] {
+        doubt_.reset();
+        if (lacks(from))
+            begin_pull(from.sender.address);
+    });
+}
+
+bool config_spread::lacks(const greeting& from) const {
+    return from.config_digest != store_.digest() || (from.config_complete && !complete_);
+}
+
+void config_spread::begin_pull(const node_address& from) {
+    if (!pulling_)
+        retries_left_ = max_pull_retries;
+    pull(from);
 }
 
 void config_spread::pull_from_peers() {
-    for (const node_address& it : hooks_.draw(1))
+    for (const node_address& it : near_ ? hooks_.draw_near(1) : hooks_.draw(1))
         pull(it);
 }
 
--- a/packages/core/cluster/config_spread.h
+++ b/packages/core/cluster/config_spread.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/base/metrics.h"
+#include "core/base/timer_queue.h"
 #include "core/cluster/member_type.h"
 #include "core/config/config_store.h"
 
@@ -30,6 +31,10 @@
     using pulled = std::function<void(std::optional<pull_reply>)>;
 
     std::function<std::vector<node_address>(std::size_t)> draw; ///< other live nodes, at random
+    /** The same of this failure domain; of all domains where it has no others. */
+    std::function<std::vector<node_address>(std::size_t)> draw_near;
+    /** @return whether a node is of another failure domain: what it sends is paid for. */
+    std::function<bool(const node_address&)> is_far;
     std::function<void(const node_address&, const std::vector<config_entry>&)> push; ///< best effort
     std::function<void(const node_address&, const std::vector<config_version>&, pulled)>
         pull;                        ///< asks for news
@@ -39,20 +44,28 @@
 /**
  * New versions are pushed on at once to a few nodes, each of which does the same; what a push missed is
  * pulled when a probe shows that two nodes' digests differ. Modelled in models/config.pml.
+ *
+ * Load it answers: texts of tens of kilobytes, many versions within seconds, hundreds of nodes. Where nodes
+ * of each failure domain read the platform, news spreads within the domains; from another one it is pulled
+ * only when the own domain has not brought it soon.
  */
 class config_spread {
 public:
     /**
+     * @param timers the clock
      * @param store configuration known
      * @param counts the counters
      * @param push_fanout nodes that each news is pushed on to
      * @param hooks the network
      */
-    config_spread(config_store& store, metrics& counts, std::size_t push_fanout, spread_hooks hooks);
+    config_spread(timer_queue& timers, config_store& store, metrics& counts, std::size_t push_fanout,
+                  spread_hooks hooks);
 
     /** Changes the number of nodes that news is pushed on to; 0 where every node reads it from the platform.
      */
     void set_push_fanout(std::size_t count) { push_fanout_ = count; }
+    /** Sets whether news is looked for in this failure domain first. */
+    void set_near(bool is_near) { near_ = is_near; }
     /** Takes objects from the platform or a peer, and pushes on what is news. */
     void take(const std::vector<config_entry>& entries);
     /** Looks at a peer's greeting, and pulls when its configuration differs. */
@@ -68,15 +81,20 @@
     [[nodiscard]] bool is_complete() const noexcept { return complete_; }
 
 private:
+    [[nodiscard]] bool lacks(const greeting& from) const;
+    void begin_pull(const node_address& from);
     void pull(const node_address& from);
 
+    timer_queue& timers_;            ///< the clock
     config_store& store_;            ///< configuration known
     metrics& counts_;                ///< the counters
     std::size_t push_fanout_;        ///< see config_spread()
     spread_hooks hooks_;             ///< the network
+    bool near_ = false;              ///< see set_near()
     bool complete_ = false;          ///< whether all configuration is held
     bool pulling_ = false;           ///< one pull at a time
     std::uint32_t retries_left_ = 0; ///< pulls still made after a lost one
+    std::optional<timer_id> doubt_;  ///< pending look at whether this domain has brought what another has
 };
 
 } // namespace pollengrade
--- a/packages/core/cluster/holders.cpp
+++ b/packages/core/cluster/holders.cpp
@@ -16,7 +16,9 @@
 namespace {
 
 constexpr std::size_t least_share = 2; ///< connections a node must have for a query not to wait for another
-constexpr std::size_t holders_per_domain = 2; ///< one may be lost, paused or restarted
+constexpr std::size_t holders_per_domain = 2; ///< at least: one may be lost, paused or restarted
+constexpr std::uint32_t holding_capacity =
+    500; ///< thousandths of a core that a domain's holders have together, if they can
 constexpr std::size_t wanted_share = 4;       ///< connections a holder needs for the queries of many nodes
 constexpr std::size_t reserved = 2;           ///< nodes that hold connections by another view of the nodes
 constexpr std::size_t crowd = 2; ///< times as many nodes as holders: most nodes' connections would rest
@@ -56,18 +58,16 @@
 
 } // namespace
 
-bool needs_holders(std::uint32_t max_connections, std::size_t nodes, std::size_t domains) {
-    return max_connections / (nodes + reserved) < least_share ||
-           nodes >= crowd * domains * holders_per_domain;
+bool needs_holders(std::uint32_t max_connections, std::size_t nodes, std::size_t holders) {
+    return max_connections / (nodes + reserved) < least_share || nodes >= crowd * holders;
 }
 
-std::size_t wanted_holders(std::uint32_t max_connections, std::size_t domains) {
-    const std::size_t most = max_connections / wanted_share;
-    return std::max<std::size_t>(1, std::min(domains * holders_per_domain, most));
+std::size_t most_holders(std::uint32_t max_connections) {
+    return std::max<std::size_t>(1, max_connections / wanted_share);
 }
 
 std::vector<node_address> pick_holders(std::string_view group, std::span<const member> nodes,
-                                       std::size_t count) {
+                                       std::size_t most) {
     struct ranked {
         std::uint32_t capacity;
         std::uint64_t hash;
@@ -80,12 +80,18 @@
         std::sort(list.begin(), list.end(), [](const ranked& a, const ranked& b) {
             return std::tie(b.capacity, b.hash, b.address) < std::tie(a.capacity, a.hash, a.address);
         });
+        // As many as have the capacity together.
+        std::uint32_t capacity = 0;
+        std::size_t count = 0;
+        while (count < list.size() && (count < holders_per_domain || capacity < holding_capacity))
+            capacity += list[count++].capacity;
+        list.resize(count);
     }
     std::vector<node_address> picked;
-    for (std::size_t rank = 0; picked.size() < count; ++rank) {
+    for (std::size_t rank = 0; picked.size() < most; ++rank) {
         const std::size_t before = picked.size();
         for (const auto& [domain, list] : by_domain) {
-            if (rank < list.size() && picked.size() < count)
+            if (rank < list.size() && picked.size() < most)
                 picked.push_back(list[rank].address);
         }
         if (picked.size() == before)
@@ -137,13 +143,14 @@
         for (const service_name& it : key)
             connections = std::min(connections, routes->services().at(it).max_connections);
         const std::set<failure_domain> near = domains_near(key, places, nodes);
-        if (!needs_holders(connections, nodes.size(), near.size()))
-            continue;
         std::vector<member> candidates;
         std::copy_if(nodes.begin(), nodes.end(), std::back_inserter(candidates),
                      [&near](const member& it) { return near.contains(it.domain); });
+        auto picked = pick_holders(name, candidates, most_holders(connections));
+        if (!needs_holders(connections, nodes.size(), picked.size()))
+            continue;
         group& it = groups_[key];
-        it.holders = pick_holders(name, candidates, wanted_holders(connections, near.size()));
+        it.holders = std::move(picked);
         it.has_self = std::find(it.holders.begin(), it.holders.end(), self_) != it.holders.end();
         for (const service_name& service : key)
             group_of_[service] = key;
--- a/packages/core/cluster/holders.h
+++ b/packages/core/cluster/holders.h
@@ -23,28 +23,29 @@
  * time; one that seldom uses its connections finds them closed, and learns too little of each server.
  * @param max_connections that one server takes from all nodes
  * @param nodes that are running
- * @param domains failure domains that may have holders
+ * @param holders that there would be
  * @return whether only some nodes, the holders, are to connect to such servers
  */
-[[nodiscard]] bool needs_holders(std::uint32_t max_connections, std::size_t nodes, std::size_t domains);
+[[nodiscard]] bool needs_holders(std::uint32_t max_connections, std::size_t nodes, std::size_t holders);
 
 /**
  * @param max_connections that one server takes from all nodes
- * @param domains failure domains that have nodes
- * @return how many nodes hold connections to such a server
+ * @return how many nodes may hold connections to such a server, each enough for the queries of many
  */
-[[nodiscard]] std::size_t wanted_holders(std::uint32_t max_connections, std::size_t domains);
+[[nodiscard]] std::size_t most_holders(std::uint32_t max_connections);
 
 /**
  * Picks holders evenly over the failure domains; within one, the VMs of most capacity, and among equal ones
  * those of highest hash, so that groups of shards differ and nodes with the same view pick the same.
+ * Load it answers: queries of a hundred shards, which small VMs take long to send: a domain has two holders,
+ * and more until they have half a core together.
  * @param group names the shards
  * @param nodes the candidates
- * @param count how many to pick
- * @return at most @p count nodes
+ * @param most how many to pick
+ * @return at most @p most nodes
  */
 [[nodiscard]] std::vector<node_address> pick_holders(std::string_view group, std::span<const member> nodes,
-                                                     std::size_t count);
+                                                     std::size_t most);
 
 /**
  * Load it answers: replies of all shards of all queries, whose bytes between failure domains are paid for. A
--- a/packages/core/cluster/membership.cpp
+++ b/packages/core/cluster/membership.cpp
@@ -87,11 +87,7 @@
     // Seeds are greeted by all that start: what some nodes read there reaches the others of their domain.
     if (is_first || random_() % seed_reading_turn == 0)
         return seeds_[random_() % seeds_.size()];
-    std::vector<node_address> near = live(self_.domain);
-    std::erase(near, self_.address);
-    if (!near.empty())
-        return near[random_() % near.size()];
-    const auto drawn = draw(1);
+    const auto drawn = draw_near(1);
     return drawn.empty() ? std::nullopt : std::optional{drawn.front()};
 }
 
@@ -183,6 +179,16 @@
 std::vector<node_address> membership::draw(std::size_t count) const {
     std::vector<node_address> pool = live();
     pool.erase(pool.begin()); // This node.
+    return draw_of(std::move(pool), count);
+}
+
+std::vector<node_address> membership::draw_near(std::size_t count) const {
+    std::vector<node_address> pool = live(self_.domain);
+    std::erase(pool, self_.address);
+    return pool.empty() ? draw(count) : draw_of(std::move(pool), count);
+}
+
+std::vector<node_address> membership::draw_of(std::vector<node_address> pool, std::size_t count) const {
     for (std::size_t n = 0; n < pool.size() && n < count; ++n)
         std::swap(pool[n], pool[n + random_() % (pool.size() - n)]);
     pool.resize(std::min(count, pool.size()));
--- a/packages/core/cluster/membership.h
+++ b/packages/core/cluster/membership.h
@@ -84,6 +84,8 @@
     void greet(const node_address& target);
     /** @return up to @p count other live nodes drawn at random. */
     [[nodiscard]] std::vector<node_address> draw(std::size_t count) const;
+    /** The same of this failure domain; of all domains where this one has no other node. */
+    [[nodiscard]] std::vector<node_address> draw_near(std::size_t count) const;
     /** @return whether another node has been heard of lately, or none is known. */
     [[nodiscard]] bool is_in_touch() const;
 
@@ -95,6 +97,7 @@
      */
     void read_list(std::uint32_t readings);
     [[nodiscard]] std::optional<node_address> choose_list(std::uint32_t readings);
+    [[nodiscard]] std::vector<node_address> draw_of(std::vector<node_address> pool, std::size_t count) const;
     /** @param spreads whether the word is passed on: what stood in a list, others read there as well */
     void take(const member& word, bool spreads);
     /** Probes the next node of a round that still lives. @return whether there was one */
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -38,7 +38,7 @@
     : clock_{clock}, hooks_{std::move(hooks)}, store_{store}, servers_{servers}, client_{clock, log},
       membership_{clock.timers(),         log, counts, random, self_of(settings), settings.seeds,
                   make_membership_hooks()},
-      spread_{store, counts, settings.form == interface_form::documents ? document_push_fanout : 0,
+      spread_{clock.timers(), store, counts, settings.form == interface_form::documents ? document_push_fanout : 0,
               make_spread_hooks()},
       registry_{clock.timers(), counts, servers, make_registry_hooks()}, server_{clock, log,
                                                                                  make_peer_hooks()},
@@ -72,6 +72,10 @@
 spread_hooks cluster::make_spread_hooks() {
     spread_hooks it;
     it.draw = [this](std::size_t count) { return membership_.draw(count); };
+    it.draw_near = [this](std::size_t count) { return membership_.draw_near(count); };
+    it.is_far = [this](const node_address& node) {
+        return membership_.domain_of(node) != membership_.self().domain;
+    };
     it.push = [this](const node_address& to, const std::vector<config_entry>& entries) {
         client_.push(to, entries);
     };
@@ -145,6 +149,7 @@
     registry_.set_fed(on_duty);
     if (is_routed_)
         spread_.set_push_fanout(divided ? divided_push_fanout : 0);
+    spread_.set_near(divided);
 }
 
 void cluster::announce() {
