Fix: a reply whose chunk lines or trailers never end was read and kept without bound

Cause: the library's parser asks for more until a chunk's line or the trailers are whole; what it could not use was kept and offered again with each piece, so memory grew without bound and time with its square. Interim replies could follow each other for ever, and one socket was read until it was empty, which a fast sender never lets it be. Ruled out: heads, status lines and bodies without a length, which ended at their limits before. Change: framing may take the header's limit and eight bytes for each byte of the body; eight interim replies; sixteen reads of a socket before others have their turn. It holds for replies of servers and of the store, and for callers' requests, which share the parser. Messages between nodes are bounded by Cap'n Proto's own limit of 64 MB: not changed.

--- a/packages/core/base/paced_action.h
+++ b/packages/core/base/paced_action.h
@@ -33,11 +33,11 @@
 private:
     void run();
 
-    timer_queue& timers_;            ///< the clock
-    duration rest_;                  ///< see paced_action()
-    std::function<void()> run_;      ///< see paced_action()
+    timer_queue& timers_;             ///< the clock
+    duration rest_;                   ///< see paced_action()
+    std::function<void()> run_;       ///< see paced_action()
     std::optional<timer_id> resting_; ///< pending end of the rest
-    bool asked_ = false;             ///< whether somebody asked during the rest
+    bool asked_ = false;              ///< whether somebody asked during the rest
 };
 
 } // namespace pollengrade
--- a/packages/core/cluster/config_spread.cpp
+++ b/packages/core/cluster/config_spread.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::uint32_t max_pull_retries = 3; ///< other peers asked after a lost pull
+constexpr std::uint32_t max_pull_retries = 3;                  ///< other peers asked after a lost pull
 constexpr duration near_time = std::chrono::milliseconds{700}; ///< news has spread in a domain by then
 
 } // namespace
--- a/packages/core/cluster/holders.cpp
+++ b/packages/core/cluster/holders.cpp
@@ -19,8 +19,8 @@
 constexpr std::size_t holders_per_domain = 2; ///< at least: one may be lost, paused or restarted
 constexpr std::uint32_t holding_capacity =
     500; ///< thousandths of a core that a domain's holders have together, if they can
-constexpr std::size_t wanted_share = 4;       ///< connections a holder needs for the queries of many nodes
-constexpr std::size_t reserved = 2;           ///< nodes that hold connections by another view of the nodes
+constexpr std::size_t wanted_share = 4; ///< connections a holder needs for the queries of many nodes
+constexpr std::size_t reserved = 2;     ///< nodes that hold connections by another view of the nodes
 constexpr std::size_t crowd = 2; ///< times as many nodes as holders: most nodes' connections would rest
 constexpr std::size_t least_domains = 2; ///< that holders are picked from: one may be lost
 
--- a/packages/core/cluster/membership.cpp
+++ b/packages/core/cluster/membership.cpp
@@ -29,7 +29,7 @@
 constexpr std::size_t leave_notices = 4;   ///< nodes told first of a graceful stop
 constexpr std::uint32_t spread_factor = 3; ///< times log2(nodes) that news is sent
 
-constexpr std::uint32_t far_probe_turn = 4;  ///< each so many probes one goes to another failure domain
+constexpr std::uint32_t far_probe_turn = 4;    ///< each so many probes one goes to another failure domain
 constexpr std::uint32_t seed_reading_turn = 4; ///< about each so many readings one is of a seed
 
 bool is_live(member_state it) {
--- a/packages/core/cluster/membership.h
+++ b/packages/core/cluster/membership.h
@@ -27,9 +27,9 @@
     std::function<void(const node_address&, const node_address&, reached)> probe_through; ///< via, target
     /** Reads what a node knows of members, but those whose fingerprints are given. */
     std::function<void(const node_address&, const std::vector<std::uint64_t>&, listed)> list;
-    std::function<void(greeting&)> add_config;             ///< fills in the configuration's part
-    std::function<void(const greeting&)> greeted_by;       ///< sees every greeting taken
-    std::function<void()> changed;                         ///< the nodes alive have changed
+    std::function<void(greeting&)> add_config;       ///< fills in the configuration's part
+    std::function<void(const greeting&)> greeted_by; ///< sees every greeting taken
+    std::function<void()> changed;                   ///< the nodes alive have changed
 };
 
 /** @return what stands for a member's address, life and state where two lists are compared. */
--- a/packages/core/upstreams/server_pool.cpp
+++ b/packages/core/upstreams/server_pool.cpp
@@ -55,8 +55,7 @@
 
 std::uint32_t connection_share_after_start(std::uint32_t max_connections, std::uint32_t nodes,
                                            sharing_form form) {
-    const std::uint32_t sharing =
-        std::max(nodes, form == sharing_form::few ? std::uint32_t{1} : least_nodes);
+    const std::uint32_t sharing = std::max(nodes, form == sharing_form::few ? std::uint32_t{1} : least_nodes);
     const std::uint32_t each = max_connections / sharing;
     return std::max(1U, each - std::min(each, connection_share(max_connections, nodes, form)));
 }
@@ -79,9 +78,8 @@
     const auto known = max_connections_.find(entry.service);
     const std::uint32_t most = known == max_connections_.end() ? unknown_connections : known->second;
     const connection_plan plan = plan_(entry.service);
-    const std::uint32_t share =
-        just_started_ ? connection_share_after_start(most, plan.nodes, plan.form)
-                      : connection_share(most, plan.nodes, plan.form);
+    const std::uint32_t share = just_started_ ? connection_share_after_start(most, plan.nodes, plan.form)
+                                              : connection_share(most, plan.nodes, plan.form);
     servers_.put_server({id_of(entry), entry.address, entry.domain, entry.name},
                         {share, entry.slots, plan.is_kept && !settling_});
 }
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t document_push_fanout = 4; ///< nodes that a document is pushed on to: not all watch
 constexpr std::size_t divided_push_fanout = 2; ///< nodes that routes are pushed on to; a difference is pulled
 constexpr duration announce_delay = std::chrono::milliseconds{300}; ///< changes of servers come in bursts
-constexpr duration live_rest = std::chrono::milliseconds{200}; ///< nodes come and go many at a time
+constexpr duration live_rest = std::chrono::milliseconds{200};      ///< nodes come and go many at a time
 constexpr duration peer_ask_period =
     std::chrono::milliseconds{500}; ///< while configuration is not complete, or the platform does not answer
 
@@ -38,8 +38,8 @@
     : clock_{clock}, hooks_{std::move(hooks)}, store_{store}, servers_{servers}, client_{clock, log},
       membership_{clock.timers(),         log, counts, random, self_of(settings), settings.seeds,
                   make_membership_hooks()},
-      spread_{clock.timers(), store, counts, settings.form == interface_form::documents ? document_push_fanout : 0,
-              make_spread_hooks()},
+      spread_{clock.timers(), store, counts,
+              settings.form == interface_form::documents ? document_push_fanout : 0, make_spread_hooks()},
       registry_{clock.timers(), counts, servers, make_registry_hooks()}, server_{clock, log,
                                                                                  make_peer_hooks()},
       live_update_{clock.timers(), live_rest, [this] { hooks_.live_changed(membership_.live_members()); }},
@@ -157,7 +157,8 @@
         return;
     clock_.timers().schedule_after(announce_delay, [this] {
         announcing_ = false;
-        for (const node_address& it : nodes_to_tell(membership_.self(), duty_members(), membership_.live_members()))
+        for (const node_address& it :
+             nodes_to_tell(membership_.self(), duty_members(), membership_.live_members()))
             membership_.greet(it);
     });
 }
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -100,9 +100,9 @@
 std::unique_ptr<front> node::make_front() {
     const run_context context{clock_.timers(), servers_, log_, counts_};
     if (settings_.form == interface_form::routes)
-        return std::make_unique<route_front>(settings_, poller_, context, random_, make_delegation_hooks(),
-                                             [this] { cluster_.configuration().pull_from_peers(); },
-                                             [this] { update_duty(); });
+        return std::make_unique<route_front>(
+            settings_, poller_, context, random_, make_delegation_hooks(),
+            [this] { cluster_.configuration().pull_from_peers(); }, [this] { update_duty(); });
     return std::make_unique<document_front>(settings_, poller_,
                                             router_parts{servers_, clock_.timers(), log_, counts_, random_,
                                                          wall_now, platform_.claim_hooks(), holder_count{1}});
--- a/packages/daemon/route_front.cpp
+++ b/packages/daemon/route_front.cpp
@@ -31,8 +31,8 @@
                          std::function<void()> behind, std::function<void()> duty_changed)
     : self_{settings.peers}, callers_address_{settings.callers}, readiness_address_{settings.readiness},
       budget_{settings.budget}, context_{context}, holders_{settings.peers},
-      holders_update_{context.timers, holders_rest, [this] { compute_holders(); }},
-      duty_changed_{std::move(duty_changed)},
+      holders_update_{context.timers, holders_rest, [this] { compute_holders(); }}, duty_changed_{std::move(
+                                                                                        duty_changed)},
       forwarder_{context,
                  random,
                  settings.domain,
@@ -46,8 +46,7 @@
                  std::move(network)},
       pool_{context.timers, context.servers,
             [this](const service_name& service) {
-                return connection_plan{holders_.sharing(service), holders_.holds(service),
-                                       form_of(service)};
+                return connection_plan{holders_.sharing(service), holders_.holds(service), form_of(service)};
             }},
       callers_{poller,
                context.timers,
--- a/packages/net/client_connection.cpp
+++ b/packages/net/client_connection.cpp
@@ -21,6 +21,9 @@
     return buf;
 }
 
+constexpr int max_reads_per_event = 16; ///< then others have their turn, whatever the server goes on to send
+constexpr int max_interim_replies = 8;  ///< before the reply that they announce
+
 connection_end end_of(int code) {
     return code == ETIMEDOUT || code == EHOSTUNREACH || code == ENETUNREACH ? connection_end::silent
                                                                             : connection_end::reset;
@@ -44,6 +47,7 @@
     assert(connected_ && !is_busy());
     request_ = std::move(request);
     written_ = 0;
+    interim_replies_ = 0;
     parser_.emplace(limits_, !request_.brings_body);
     state_ = send_state::nothing_written;
     write();
@@ -111,7 +115,7 @@
 
 void client_connection::read() {
     auto& buf = read_buffer();
-    for (;;) {
+    for (int reads = 0; reads < max_reads_per_event; ++reads) {
         const ssize_t n = ::recv(fd_.get(), buf.data(), buf.size(), 0);
         if (n < 0 && would_block())
             return;
@@ -150,6 +154,10 @@
         if (parser_->stage() != parse_stage::whole)
             return true;
         if (parser_->is_interim()) {
+            if (++interim_replies_ > max_interim_replies) {
+                end(connection_end::unreadable);
+                return false;
+            }
             parser_.emplace(limits_, !request_.brings_body);
             continue;
         }
--- a/packages/net/client_connection.h
+++ b/packages/net/client_connection.h
@@ -83,6 +83,7 @@
     bool connected_ = false;                       ///< whether connecting has succeeded
     outgoing_request request_;                     ///< the open request
     std::size_t written_ = 0;                      ///< bytes of it written
+    int interim_replies_ = 0;                      ///< read since the request went out
     std::optional<reply_parser> parser_;           ///< of the open request's reply
     send_state state_ = send_state::not_connected; ///< see state()
 };
--- a/packages/net/message_parser.cpp
+++ b/packages/net/message_parser.cpp
@@ -19,6 +19,8 @@
 using text = boost::beast::string_view;
 
 constexpr std::string_view header_end = "\r\n\r\n";
+/** Bytes of chunk headers allowed for each byte of the body: chunks of one byte have five. */
+constexpr std::size_t framing_factor = 8;
 
 /** @return whether a header line is continued on the next, a form that readers treat differently. */
 bool has_folded_line(std::string_view header) {
@@ -201,6 +203,12 @@
         if (ec && ec != http::error::need_more)
             return tl::unexpected{error_of(ec)};
         input.remove_prefix(used);
+        taken_ += used;
+        // A chunk's header line, its extensions and trailers have no length of their own.
+        const std::size_t body = reader_->read().body.size();
+        const std::size_t framing = taken_ - std::min(taken_, body) + (ec ? input.size() : 0);
+        if (framing > reader_->limits().header_bytes + framing_factor * body)
+            return tl::unexpected{parse_error::malformed};
         if (ec) {
             pending_ = std::string{input};
             return bytes.size();
--- a/packages/net/message_parser.h
+++ b/packages/net/message_parser.h
@@ -79,6 +79,7 @@
 
     std::unique_ptr<reader> reader_; ///< the library's parser and what it has read
     std::string pending_;            ///< bytes that the library cannot use before more have come
+    std::size_t taken_ = 0; ///< bytes of the body, with its transfer coding, that the library has used
 };
 
 using request_parser = message_parser<true>;
--- a/packages/peer/peer_server.h
+++ b/packages/peer/peer_server.h
@@ -26,8 +26,8 @@
     std::function<void(const node_address&, const membership_hooks::reached&)> probe_for; ///< probes a target
     /** @return all members but those whose fingerprints are given. */
     std::function<std::vector<member>(const std::vector<std::uint64_t>&)> members;
-    std::function<void(const std::vector<config_entry>&)> on_push;                        ///< takes objects
-    std::function<pull_reply(const std::vector<config_version>&)> on_pull;                ///< gives objects
+    std::function<void(const std::vector<config_entry>&)> on_push;         ///< takes objects
+    std::function<pull_reply(const std::vector<config_version>&)> on_pull; ///< gives objects
     std::function<registry_update(object_version)> servers_after; ///< what a peer lacks of the registry
     /** Runs a query for a peer. @return an ID that withdraw_query takes */
     std::function<run_id(const delegated_request&, std::function<void(delegated_answer)>)> run_query;
--- a/packages/runtime/loop_clock.h
+++ b/packages/runtime/loop_clock.h
@@ -46,10 +46,10 @@
     void rearm();
     static gboolean on_timeout(gpointer self);
 
-    timer_queue timers_;   ///< what the loop drives
-    GSource* source_;      ///< wakes the loop at the earliest deadline
-    gint64 armed_at_ = -1; ///< the ready time set on the source; -1 for never
-    bool syncing_ = false; ///< whether sync() is on the call stack
+    timer_queue timers_;                  ///< what the loop drives
+    GSource* source_;                     ///< wakes the loop at the earliest deadline
+    gint64 armed_at_ = -1;                ///< the ready time set on the source; -1 for never
+    bool syncing_ = false;                ///< whether sync() is on the call stack
     std::function<void()> before_timers_; ///< see set_before_timers()
 };
 
--- a/tests/core/cluster/cluster_logic_test.cpp
+++ b/tests/core/cluster/cluster_logic_test.cpp
@@ -331,7 +331,8 @@
     }
 }
 
-TEST_CASE("versions that come in a row spread within the failure domains, and are in force within three seconds") {
+TEST_CASE(
+    "versions that come in a row spread within the failure domains, and are in force within three seconds") {
     constexpr std::size_t size = 90;
     for (const std::uint64_t loss_percent : {0U, 20U}) {
         CAPTURE(loss_percent);
--- a/tests/core/cluster/holders_test.cpp
+++ b/tests/core/cluster/holders_test.cpp
@@ -72,7 +72,8 @@
     CHECK(needs_holders(16, 560, 4));
 }
 
-TEST_CASE("holders: many nodes that each see few queries hand them over, however many connections there are") {
+TEST_CASE(
+    "holders: many nodes that each see few queries hand them over, however many connections there are") {
     CHECK_FALSE(needs_holders(2000, 11, 6));
     CHECK(needs_holders(2000, 12, 6));
     CHECK_FALSE(needs_holders(2000, 19, 10));
--- a/tests/core/upstreams/server_pool_test.cpp
+++ b/tests/core/upstreams/server_pool_test.cpp
@@ -102,9 +102,11 @@
 TEST_CASE("a restart of all nodes at once does not put a server over its limit") {
     for (std::uint32_t connections = 20; connections <= 100; ++connections) {
         for (std::uint32_t nodes = 7; nodes <= 9; ++nodes) {
-            const std::uint32_t at_start = connection_share_after_start(connections, nodes, sharing_form::all_nodes);
+            const std::uint32_t at_start =
+                connection_share_after_start(connections, nodes, sharing_form::all_nodes);
             CHECK(at_start >= 1);
-            const std::uint32_t all = nodes * (connection_share(connections, nodes, sharing_form::all_nodes) + at_start);
+            const std::uint32_t all =
+                nodes * (connection_share(connections, nodes, sharing_form::all_nodes) + at_start);
             CHECK((all <= connections || at_start == 1));
         }
     }
--- a/tests/platform/route_decoder_test.cpp
+++ b/tests/platform/route_decoder_test.cpp
@@ -1,4 +1,5 @@
-/** @file route_decoder_test.cpp Numbers of the platform's routes: fractions, limits, and what is no number. */
+/** @file route_decoder_test.cpp Numbers of the platform's routes: fractions, limits, and what is no number.
+ */
 #include <doctest/doctest.h>
 
 #include <string>
@@ -18,15 +19,15 @@
     std::string weight = "1";
 
     [[nodiscard]] auto decode() const {
-        return decode_routes(R"({"config-version": 3, "limits": {"max-header-bytes": )" + header_bytes +
-                             R"(, "max-body-bytes": 65536, "header-timeout-ms": 2000, "idle-timeout-ms": 9000},
+        return decode_routes(
+            R"({"config-version": 3, "limits": {"max-header-bytes": )" + header_bytes +
+            R"(, "max-body-bytes": 65536, "header-timeout-ms": 2000, "idle-timeout-ms": 9000},
             "services": [{"name": "desk", "max-connections": )" +
-                             connections + R"(}],
+            connections + R"(}],
             "routes": [{"name": "r", "hostname": "a.example", "path-prefix": "/s/", "kind": "safe",
                         "timeout-ms": )" +
-                             timeout + R"(, "target-latency-ms": )" + target +
-                             R"(, "max-attempts": 2, "traffic-split": [{"service": "desk", "weight": )" +
-                             weight + "}]}]}");
+            timeout + R"(, "target-latency-ms": )" + target +
+            R"(, "max-attempts": 2, "traffic-split": [{"service": "desk", "weight": )" + weight + "}]}]}");
     }
 };
 
