--- a/packages/core/cluster/holders.cpp
+++ b/packages/core/cluster/holders.cpp
@@ -69,8 +69,8 @@
 std::vector<node_address> pick_holders(std::string_view group, std::span<const member> nodes,
                                        std::size_t most) {
     struct ranked {
-        std::uint32_t capacity;
-        std::uint64_t hash;
+        std::uint32_t capacity = 0;
+        std::uint64_t hash = 0;
         node_address address;
     };
     std::map<failure_domain, std::vector<ranked>> by_domain;
--- a/packages/core/upstreams/server_pool.cpp
+++ b/packages/core/upstreams/server_pool.cpp
@@ -62,7 +62,7 @@
 
 std::uint32_t assumed_nodes(std::uint32_t nodes, sharing_form form) {
     if (form == sharing_form::few)
-        return nodes + (nodes + nodes_a_replacement - 1) / nodes_a_replacement;
+        return std::max(1U, nodes) + (nodes + nodes_a_replacement - 1) / nodes_a_replacement;
     return std::max(nodes, least_nodes) + reserved_nodes;
 }
 
--- a/tests/net/endless_bytes_test.cpp
+++ b/tests/net/endless_bytes_test.cpp
@@ -169,9 +169,9 @@
         {chunked_head, "1;" + std::string(1000, 'e') + "\r\nx\r\n"},
         {chunked_head + "0\r\n", "x-a: b\r\n"},
     }};
-    for (const auto& [begin, repeated] : cases) {
-        CAPTURE(repeated);
-        const endless_server server{begin, repeated};
+    for (const auto& it : cases) {
+        CAPTURE(it[1]);
+        const endless_server server{it[0], it[1]};
         const endless_outcome outcome = ask(server, small_limits, milliseconds{3000});
         CHECK(outcome.timer_ran);
         CHECK(outcome.end == connection_end::unreadable);
