--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "net/message_writer.h"
+#include "process_func.h"
 
 namespace pollengrade {
 
@@ -17,6 +18,7 @@
     std::chrono::seconds{2}; ///< for a process to be started again by its keeper
 constexpr duration link_delay = std::chrono::milliseconds{60};
 constexpr duration call_pause = std::chrono::milliseconds{100}; ///< before a call is made again
+constexpr duration begin_pause = std::chrono::milliseconds{10}; ///< between looks for a process's handlers
 constexpr duration exit_slack = std::chrono::seconds{1};        ///< past the grace, before a stop is overdue
 
 std::string node_process(std::uint32_t node) {
@@ -92,6 +94,11 @@
 void fault_player::stop_node(std::uint32_t node) {
     const std::string process = node_process(node);
     const int pid = pid_of(process);
+    if (pid > 1 && !has_handler(pid, SIGTERM)) {
+        // Started a moment ago: the kernel would end it, whatever the program does.
+        timers_.schedule_after(begin_pause, [this, node] { stop_node(node); });
+        return;
+    }
     signal(process, SIGTERM);
     note(node, grace + restart_time, true);
     timers_.schedule_after(grace + exit_slack, [this, process, pid] {
--- /dev/null
+++ b/soak/process_func.cpp
@@ -0,0 +1,23 @@
+/** @file process_func.cpp The mask of caught signals in a process's status. */
+#include "process_func.h"
+
+#include <cstdint>
+#include <fstream>
+#include <string>
+
+namespace pollengrade {
+
+bool has_handler(int pid, int signal_number) {
+    constexpr int base = 16;
+    const std::string key = "SigCgt:";
+    std::ifstream status{"/proc/" + std::to_string(pid) + "/status"};
+    for (std::string line; std::getline(status, line);) {
+        if (!line.starts_with(key))
+            continue;
+        const std::uint64_t mask = std::stoull(line.substr(key.size()), nullptr, base);
+        return (mask >> static_cast<unsigned>(signal_number - 1) & 1U) != 0;
+    }
+    return false;
+}
+
+} // namespace pollengrade
