--- a/packages/core/cluster/holders.cpp
+++ b/packages/core/cluster/holders.cpp
@@ -119,8 +119,8 @@
                      [](const auto& a, const auto& b) { return a.second > b.second; });
     std::set<failure_domain> near;
     for (const auto& [domain, count] : ranked) {
-        const bool has_most = count * 2 >= shards.size();
-        if (count > 0 && (has_most || near.size() < least_domains))
+        const bool is_near = count * 2 >= ranked.front().second;
+        if (count > 0 && (is_near || near.size() < least_domains))
             near.insert(domain);
     }
     if (!near.empty())
--- a/packages/core/cluster/holders.h
+++ b/packages/core/cluster/holders.h
@@ -53,8 +53,9 @@
  * @param shards that are asked together
  * @param places of all servers
  * @param nodes the candidates
- * @return the failure domains that holders are picked from: those with servers of at least half of the
- * shards, and never one alone where servers stand in more; all that have nodes when no server is known
+ * @return the failure domains that holders are picked from: those with servers of at least half as many
+ * shards as the best one has, and never one alone where servers stand in more; all that have nodes when no
+ * server is known. Losses that meet all domains alike move no holders.
  */
 [[nodiscard]] std::set<failure_domain> domains_near(std::span<const service_name> shards,
                                                     const server_places& places,
--- a/tests/core/cluster/holders_test.cpp
+++ b/tests/core/cluster/holders_test.cpp
@@ -98,6 +98,11 @@
     places[shards[0]][d1] = 1;
     places[shards[1]] = {{d0, 1}, {d1, 1}};
     CHECK(domains_near(shards, places, nodes) == std::set<failure_domain>{d0, d1});
+    // Each shard's servers in two of three domains, and a third of all servers lost: no holder moves.
+    places[shards[0]] = {{d0, 1}};
+    places[shards[1]] = {{d1, 1}};
+    places[shards[2]] = {{d1, 1}, {d2, 1}};
+    CHECK(domains_near(shards, places, nodes) == std::set<failure_domain>{d0, d1, d2});
     // All servers in one domain: a second one, if any server is there.
     for (const service_name& it : shards)
         places[it] = {{d0, 3}};
