--- /dev/null
+++ b/tests/support/loopback_listener.h
@@ -0,0 +1,45 @@
+/** @file loopback_listener.h A listening socket on loopback, at a port that the kernel picks. */
+#pragma once
+
+#include <string>
+
+#include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net/socket_func.h"
+
+namespace pollengrade {
+
+/** Where a test's own server takes its one connection. */
+class loopback_listener {
+public:
+    loopback_listener() : listener_{listen_at("127.0.0.1:0")} {
+        REQUIRE(listener_.is_valid());
+        sockaddr_in at{};
+        socklen_t size = sizeof(at);
+        // NOLINTNEXTLINE(*-reinterpret-cast): the socket interface's way
+        REQUIRE(::getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&at), &size) == 0);
+        address_ = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+    }
+
+    [[nodiscard]] const std::string& address() const noexcept { return address_; }
+
+    /** Waits for the connection, a second at most. @return it; not valid when none came */
+    [[nodiscard]] unique_fd accept() const {
+        int fd = -1;
+        for (int n = 0; n < 1000 && fd < 0; ++n) {
+            fd = ::accept(listener_.get(), nullptr, nullptr);
+            if (fd < 0)
+                ::usleep(1000);
+        }
+        return unique_fd{fd};
+    }
+
+private:
+    unique_fd listener_;  ///< does not block
+    std::string address_; ///< see address()
+};
+
+} // namespace pollengrade
