Add: nodes read, log and count the request rate that a server states

Change: the adapter decodes the header field; a node logs upstream_limited and upstream_unlimited, and counts attempts to such servers by their purpose. Values that are no number, negative or infinite are counted and ignored. A reply to a request sent before the last statement does not lift the limit. No request is placed differently.

--- a/packages/core/upstreams/dispatcher.cpp
+++ b/packages/core/upstreams/dispatcher.cpp
@@ -231,6 +231,8 @@
     it.sent_at = now;
     server.on_sent(id, it.connection, now, usual_latency(it.request.work));
     ++counts_.counter("attempts_sent");
+    if (server.rate().stated())
+        ++counts_.counter("attempts_to_limited", to_string(it.request.purpose));
     hooks_.send(it.connection, server.identity(), it.request);
     // Open a connection ahead of the next request.
     if (server.limits().keep_open && !server.idle_connection(now) && !server.is_connecting() &&
--- a/packages/core/upstreams/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -32,6 +32,13 @@
     std::function<void(connection_id)> close;
 };
 
+/** What a reply states about its connection and its server, besides the answer itself. */
+struct reply_terms {
+    bool keeps_connection = true; ///< whether the connection is still open
+    duration idle_timeout{};      ///< how long the server keeps it open unused; zero if it did not state it
+    rate_statement rate;          ///< the request rate that the server accepts
+};
+
 /** Why an attempt is cancelled. */
 enum class cancel_reason : std::uint8_t {
     superseded,  ///< its reply is no longer needed: it may still finish, which preserves the connection
@@ -99,10 +106,8 @@
     /**
      * Called when the request on a connection is answered.
      * @param result the reply, or why it is unusable
-     * @param kept whether the connection is still open
-     * @param idle_timeout how long the server keeps it open unused; zero if it did not state it
      */
-    void on_answered(connection_id id, attempt_result result, bool kept, duration idle_timeout);
+    void on_answered(connection_id id, attempt_result result, const reply_terms& terms);
 
     /** @return the server with an ID, or null. */
     [[nodiscard]] const upstream* find(const upstream_id& id) const;
@@ -139,6 +144,8 @@
     void drop_connection(upstream& server, connection_id id);
     void on_connect_failed(upstream& server, connection_end why);
     void note_result(upstream& server, const attempt& sent, const attempt_result& result);
+    void note_rate(upstream& server, const attempt& sent, const attempt_result& result,
+                   const rate_statement& rate);
     void note_failure(upstream& server, std::string_view cause);
     void close_unused();
     void arm_unused_check();
--- a/packages/core/upstreams/dispatcher_results.cpp
+++ b/packages/core/upstreams/dispatcher_results.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-void dispatcher::on_answered(connection_id id, attempt_result result, bool kept, duration idle_timeout) {
+void dispatcher::on_answered(connection_id id, attempt_result result, const reply_terms& terms) {
     const auto owner = owners_.find(id);
     if (owner == owners_.end()) {
         ++counts_.counter("late_results_dropped");
@@ -25,7 +25,9 @@
     const request_in_flight* request = server.request_on(id);
     assert(request != nullptr);
     const attempt_id answered = request->attempt;
+    note_rate(server, attempts_.at(answered), result, terms.rate);
     note_result(server, attempts_.at(answered), result);
+    const bool kept = terms.keeps_connection;
     // A reply to another request means that requests and replies on this connection no longer match.
     const bool matches = result || result.error().code != attempt_error::wrong_request;
     if (!kept || !matches || server.is_leaving()) {
@@ -37,7 +39,7 @@
         server.on_connection_gone(id);
         keep_connected(server_id);
     } else {
-        server.on_answered(id, timers_.now(), idle_timeout);
+        server.on_answered(id, timers_.now(), terms.idle_timeout);
     }
     dispatch_waiting_for(server_id);
     finish(answered, send_state::reply_begun, std::move(result));
@@ -113,6 +115,27 @@
     }
 }
 
+void dispatcher::note_rate(upstream& server, const attempt& sent, const attempt_result& result,
+                           const rate_statement& rate) {
+    // These replies may come from another server that now uses the address, or belong to an earlier request.
+    if (!result && (result.error().code == attempt_error::wrong_server ||
+                    result.error().code == attempt_error::wrong_request))
+        return;
+    if (!rate.is_readable)
+        ++counts_.counter("rate_limits_unreadable");
+    switch (server.rate().on_reply(timers_.now(), sent.sent_at, rate)) {
+    case rate_change::none:
+        break;
+    case rate_change::stated:
+        log_.record(event_kind::upstream_limited, {}, server.id().value(),
+                    {{event_key::limit_per_s, *server.rate().stated()}});
+        break;
+    case rate_change::lifted:
+        log_.record(event_kind::upstream_unlimited, {}, server.id().value());
+        break;
+    }
+}
+
 void dispatcher::note_failure(upstream& server, std::string_view cause) {
     const time_point now = timers_.now();
     const bool was_degraded = server.health().is_degraded(now);
--- a/packages/core/upstreams/placement_func.cpp
+++ b/packages/core/upstreams/placement_func.cpp
@@ -2,6 +2,7 @@
 #include "core/upstreams/placement_func.h"
 
 #include <algorithm>
+#include <array>
 
 namespace pollengrade {
 
@@ -26,6 +27,11 @@
 
 } // namespace
 
+std::string_view to_string(placement_purpose it) {
+    constexpr std::array<std::string_view, 4> names{"first", "no_trial", "retry", "hedge"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
 std::optional<std::size_t> place(std::span<const placement_candidate> candidates, placement_purpose purpose,
                                  const std::function<std::uint64_t()>& random) {
     std::optional<std::size_t> best;
--- a/packages/core/upstreams/placement_func.h
+++ b/packages/core/upstreams/placement_func.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <span>
+#include <string_view>
 
 namespace pollengrade {
 
@@ -27,6 +28,9 @@
     hedge,    ///< second attempt while the first still runs: only a ready server justifies the extra load
 };
 
+/** @return the name used in metrics. */
+[[nodiscard]] std::string_view to_string(placement_purpose it);
+
 /**
  * Selects a server for a request.
  *
--- a/packages/core/upstreams/upstream.h
+++ b/packages/core/upstreams/upstream.h
@@ -12,6 +12,7 @@
 #include "core/base/time_type.h"
 #include "core/upstreams/concurrency_limit.h"
 #include "core/upstreams/connection_type.h"
+#include "core/upstreams/rate_limit.h"
 #include "core/upstreams/upstream_health.h"
 
 namespace pollengrade {
@@ -68,6 +69,8 @@
     [[nodiscard]] upstream_health& health() noexcept { return health_; }
     [[nodiscard]] const upstream_health& health() const noexcept { return health_; }
     [[nodiscard]] concurrency_limit& concurrency() noexcept { return concurrency_; }
+    [[nodiscard]] rate_limit& rate() noexcept { return rate_; }
+    [[nodiscard]] const rate_limit& rate() const noexcept { return rate_; }
     [[nodiscard]] bool is_leaving() const noexcept { return leaving_; }
     /**
      * Records that an incarnation of the server is leaving.
@@ -146,6 +149,7 @@
     upstream_limits limits_;                    ///< see limits()
     upstream_health health_;                    ///< see health()
     concurrency_limit concurrency_;             ///< see concurrency()
+    rate_limit rate_;                           ///< see rate()
     bool leaving_ = false;                      ///< see is_leaving()
     std::string incarnation_;                   ///< see incarnation()
     bool silent_ = false;                       ///< see is_silent()
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -54,6 +54,7 @@
             return decode_index_reply(reply);
         return decode_forwarded(request.request, std::move(reply));
     };
+    codec.read_rate = read_rate_statement;
     return codec;
 }
 
--- a/packages/net/upstream_network.cpp
+++ b/packages/net/upstream_network.cpp
@@ -85,11 +85,11 @@
 void upstream_network::on_replied(connection_id id, reply_message reply) {
     const auto found = links_.find(id);
     const bool keep_alive = reply.keep_alive;
-    const duration idle_limit = idle_limit_of(reply);
+    const reply_terms terms{keep_alive, idle_limit_of(reply), codec_.read_rate(reply)};
     const attempt_request request = std::exchange(found->second.request, {});
     if (!keep_alive)
         close(id);
-    servers_.on_answered(id, codec_.decode(request, std::move(reply)), keep_alive, idle_limit);
+    servers_.on_answered(id, codec_.decode(request, std::move(reply)), terms);
 }
 
 void upstream_network::on_ended(connection_id id, connection_end why) {
--- a/packages/net/upstream_network.h
+++ b/packages/net/upstream_network.h
@@ -18,6 +18,8 @@
     std::function<outgoing_request(const upstream_identity&, const attempt_request&, duration left)> encode;
     /** @return the result of an attempt, decoded from its reply. */
     std::function<attempt_result(const attempt_request&, reply_message)> decode;
+    /** @return the request rate that a reply states for its server. */
+    std::function<rate_statement(const reply_message&)> read_rate;
 };
 
 /** The transport of the dispatcher. */
--- a/tests/support/fake_network.h
+++ b/tests/support/fake_network.h
@@ -81,11 +81,11 @@
     }
 
     /** Answers a request. */
-    void answer(connection_id id, attempt_result result, bool kept = true) {
+    void answer(connection_id id, attempt_result result, bool kept = true, const rate_statement& rate = {}) {
         requests_.erase(id);
         if (!kept)
             open_.erase(id);
-        servers_.on_answered(id, std::move(result), kept, duration{0});
+        servers_.on_answered(id, std::move(result), {kept, {}, rate});
     }
 
     /** @return requests that wait for their answer, ordered by connection. */
--- a/tests/support/fake_node.cpp
+++ b/tests/support/fake_node.cpp
@@ -93,13 +93,13 @@
     change(reply);
     const connection_id id = it.connection;
     sent_.erase(id);
-    servers_.on_answered(id, std::move(reply), true, duration{0});
+    servers_.on_answered(id, std::move(reply), {});
 }
 
 void fake_node::fail(const sent_request& it, attempt_error code) {
     const connection_id id = it.connection;
     sent_.erase(id);
-    servers_.on_answered(id, tl::unexpected{attempt_failure{code, {}}}, true, duration{0});
+    servers_.on_answered(id, tl::unexpected{attempt_failure{code, {}}}, {});
 }
 
 std::vector<sent_request> fake_node::open_requests() const {
--- a/tests/support/load_model.cpp
+++ b/tests/support/load_model.cpp
@@ -232,7 +232,7 @@
         if (it == connections_.end())
             return;
         it->second.request = 0;
-        servers_.on_answered(id, result, true, duration{0});
+        servers_.on_answered(id, result, {});
     }
 
     void close(connection_id id) {
