--- a/tests/core/queries/load_test.cpp
+++ b/tests/core/queries/load_test.cpp
@@ -81,6 +81,44 @@
     }
 }
 
+TEST_CASE("load: a server that states a request rate does not get more from all nodes together") {
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        load_plan plan = seeded_plan(seed);
+        plan.length = seconds{20};
+        plan.troubles = [](std::size_t shard, std::size_t replica) {
+            server_troubles it;
+            if (shard == 0 && replica > 0) {
+                it.limited = {seconds{3}, seconds{18}};
+                it.stated_rate = 20;
+            }
+            return it;
+        };
+        const load_result it = play(plan);
+        CHECK(it.rate_use <= 1);
+        CHECK(it.share_on_time() >= 0.98);
+    }
+}
+
+TEST_CASE("load: with all servers limited to half the load that many queries are served whole") {
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        load_plan plan = seeded_plan(seed);
+        plan.length = seconds{20};
+        plan.troubles = [](std::size_t, std::size_t) {
+            server_troubles it;
+            it.limited = {seconds{0}, seconds{20}};
+            it.stated_rate = 22;
+            return it;
+        };
+        const load_result it = play(plan);
+        CHECK(it.rate_use <= 1);
+        CHECK(it.rate_used >= 0.8);
+        CHECK(it.share_on_time() >= 0.4);
+        CHECK(it.p99_failed <= milliseconds{50});
+    }
+}
+
 TEST_CASE("load: queries do not wait for a shard whose servers read requests and never reply") {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         CAPTURE(seed);
--- a/tests/support/load_model.cpp
+++ b/tests/support/load_model.cpp
@@ -23,6 +23,10 @@
 constexpr duration warm_up = std::chrono::seconds{3}; ///< load before the measured one, without troubles
 constexpr const char* host = "a.example";
 
+double seconds_of(duration it) {
+    return std::chrono::duration<double>{it}.count();
+}
+
 duration from_ms(double ms) {
     constexpr double us_per_ms = 1000;
     return duration{static_cast<duration::rep>(ms * us_per_ms)};
@@ -52,6 +56,10 @@
     }
 
     [[nodiscard]] bool is_silent(duration at) const { return troubles_.silent.contains(at); }
+    [[nodiscard]] rate_statement rate(duration at) const {
+        return {troubles_.limited.contains(at) ? std::optional{troubles_.stated_rate} : std::nullopt, true};
+    }
+    [[nodiscard]] const server_troubles& troubles() const { return troubles_; }
     [[nodiscard]] bool refuses(duration at) {
         constexpr double whole = 1000;
         return troubles_.refusing.contains(at) &&
@@ -88,6 +96,8 @@
     std::uint64_t receive(time_point deadline, reply done) {
         const std::uint64_t number = next_++;
         const duration at = timers_.now() - start_;
+        if (clock_.troubles().limited.contains(at))
+            arrivals_.push_back(at);
         if (clock_.is_silent(at))
             return number;
         if (waiting_.size() >= queue_ || clock_.refuses(at)) {
@@ -99,6 +109,36 @@
         return number;
     }
 
+    /** @return the rate that replies state now. */
+    [[nodiscard]] rate_statement rate() const { return clock_.rate(timers_.now() - start_); }
+
+    /** Adds what the server got while it stated a rate to the result. */
+    void report(load_result& result) const {
+        constexpr duration window = std::chrono::seconds{4};
+        constexpr double tolerance = 1.5;
+        constexpr double slack = 5;
+        const server_troubles& it = clock_.troubles();
+        const duration span = it.limited.until - it.limited.from;
+        if (span <= window)
+            return;
+        const double allowed = tolerance * it.stated_rate * seconds_of(window) + slack;
+        std::size_t first = 0;
+        std::size_t counted = 0;
+        for (std::size_t n = 0; n < arrivals_.size(); ++n) {
+            const duration at = arrivals_[n] - it.limited.from;
+            if (at < std::chrono::milliseconds{500}) {
+                first = n + 1; // Nodes may not have read a reply yet that states the rate.
+                continue;
+            }
+            ++counted;
+            while (arrivals_[n] - arrivals_[first] > window)
+                ++first;
+            result.rate_use = std::max(result.rate_use, static_cast<double>(n - first + 1) / allowed);
+        }
+        const double accepted = it.stated_rate * seconds_of(span);
+        result.rate_used = std::max(result.rate_used, static_cast<double>(counted) / accepted);
+    }
+
     /** The connection of a request was closed: the server stops working on it. */
     void cancel(std::uint64_t number) {
         std::erase_if(waiting_, [&](const request& it) { return it.number == number; });
@@ -144,6 +184,7 @@
     std::uint32_t queue_;
     server_clock clock_;
     std::string name_;
+    std::vector<duration> arrivals_; ///< of requests while it states a rate, from the start of the load
     std::deque<request> waiting_;
     std::map<std::uint64_t, timer_id> running_;
     std::uint64_t next_ = 1;
@@ -219,20 +260,21 @@
             const auto it = connections_.find(id);
             if (it == connections_.end())
                 return;
-            const std::uint64_t number =
-                models_[it->second.server].receive(deadline, [this, id](const attempt_result& result) {
-                    timers_.schedule_after(hop, [this, id, result] { answer(id, result); });
+            const std::uint64_t number = models_[it->second.server].receive(
+                deadline, [this, id, server = it->second.server](const attempt_result& result) {
+                    timers_.schedule_after(
+                        hop, [this, id, result, rate = models_[server].rate()] { answer(id, result, rate); });
                 });
             it->second.request = number;
         });
     }
 
-    void answer(connection_id id, const attempt_result& result) {
+    void answer(connection_id id, const attempt_result& result, const rate_statement& rate) {
         const auto it = connections_.find(id);
         if (it == connections_.end())
             return;
         it->second.request = 0;
-        servers_.on_answered(id, result, {});
+        servers_.on_answered(id, result, {true, {}, rate});
     }
 
     void close(connection_id id) {
@@ -346,6 +388,8 @@
     std::uint64_t sent = 0;
     for (const auto& it : nodes)
         sent += it->sent();
+    for (const modelled_server& it : servers)
+        it.report(result);
     const auto needed = static_cast<double>(result.asked * plan.shards);
     result.extra = std::max(0.0, static_cast<double>(sent - sent_before) / needed - 1);
     result.shards = shards / std::max<double>(1, static_cast<double>(result.on_time + result.late));
--- a/tests/support/load_model.h
+++ b/tests/support/load_model.h
@@ -30,6 +30,8 @@
     load_span silent;         ///< while it reads requests and never replies
     load_span refusing;       ///< while it refuses refused_share of the requests
     double refused_share = 0; ///< see refusing
+    load_span limited;        ///< while it states the request rate that it accepts
+    double stated_rate = 0;   ///< see limited; requests per second from all nodes
 };
 
 /** A load and the deployment that it meets. Every shard has the same number of equal servers. */
@@ -70,6 +72,9 @@
     duration p99{};
     duration p99_9{};
     duration p99_failed{}; ///< time to the failure, over queries that failed
+    /** Most requests that a server got in 4 s, as a share of what the rate that it states allows then. */
+    double rate_use = 0;
+    double rate_used = 0; ///< requests to servers that state a rate, as a share of the stated rates
 
     [[nodiscard]] double share_on_time() const {
         return static_cast<double>(on_time) / static_cast<double>(asked);
