Fix: nodes share the request rate that a server states, and every request to it counts

Callers' servers got 1.6 to 2.2 times what the rate that they state allows. Cause: a node read what a server states about its connection, but not what it states about its load; no place that chooses a server had a rate to keep to. Class of fault: a bound that holds over all nodes together with no share in each. Change: each server has a token bucket of the stated rate divided by the nodes that share it (holders, or all nodes). All requests take a token in one place, upstream::on_sent: first attempts, retries, trials, also those run for other nodes. Hedges do not go to such servers. A server without a token counts as having no room: requests go to the shard's other servers, wait for a token if it comes in time for the target, or the shard is left out at once. Admission counts the shards with a token in time, so that a query takes tokens only if it can be answered; the others are refused at once with the time at which a query like it would be admitted. A waiting request that later ones overtake is given up at its latest start. After nodes are lost a share grows by at most 1.3 for a minute, since they may only have lost contact.

--- a/packages/core/base/error_type.cpp
+++ b/packages/core/base/error_type.cpp
@@ -11,9 +11,9 @@
                                                         "invalid"};
 
 constexpr std::array<std::string_view, attempt_error_count> attempt_error_names{
-    "not_sent",        "shed",      "draining",  "version_absent", "wrong_server",  "refused",
-    "connection_lost", "timed_out", "malformed", "oversized",      "wrong_request", "wrong_version",
-    "server_error",    "cancelled"};
+    "not_sent",      "rate_limited",    "shed",      "draining",  "version_absent", "wrong_server",
+    "refused",       "connection_lost", "timed_out", "malformed", "oversized",      "wrong_request",
+    "wrong_version", "server_error",    "cancelled"};
 
 constexpr std::array<std::string_view, 6> missing_reason_names{"no_replica", "deadline",       "tail_cut",
                                                                "load_shed",  "version_absent", "failed"};
--- a/packages/core/base/error_type.h
+++ b/packages/core/base/error_type.h
@@ -19,6 +19,7 @@
 /** How one attempt to run a request on one server failed. */
 enum class attempt_error : std::uint8_t {
     not_sent,        ///< no byte of the request left this node
+    rate_limited,    ///< not sent: within the rates that the servers state it could not be sent in time
     shed,            ///< the server refused the request because of load, before running it
     draining,        ///< the server refused the request because it is draining
     version_absent,  ///< the server does not hold the pinned index version
@@ -71,9 +72,9 @@
 
 /** @return whether this error proves that the server did not run the request. */
 [[nodiscard]] constexpr bool proves_not_run(attempt_error it) {
-    return it == attempt_error::not_sent || it == attempt_error::shed || it == attempt_error::draining ||
-           it == attempt_error::version_absent || it == attempt_error::wrong_server ||
-           it == attempt_error::refused;
+    return it == attempt_error::not_sent || it == attempt_error::rate_limited || it == attempt_error::shed ||
+           it == attempt_error::draining || it == attempt_error::version_absent ||
+           it == attempt_error::wrong_server || it == attempt_error::refused;
 }
 
 /** Number of attempt errors, for arrays indexed by attempt_error. */
--- a/packages/core/base/event_log.cpp
+++ b/packages/core/base/event_log.cpp
@@ -54,6 +54,7 @@
     "servers",
     "service",
     "shard",
+    "share_per_s",
     "started_ms",
     "state",
     "status",
--- a/packages/core/base/event_log.h
+++ b/packages/core/base/event_log.h
@@ -102,6 +102,7 @@
     servers,
     service,
     shard,
+    share_per_s,
     started_ms,
     state,
     status,
--- a/packages/core/queries/admission.cpp
+++ b/packages/core/queries/admission.cpp
@@ -2,6 +2,8 @@
 #include "core/queries/admission.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <vector>
 
 namespace pollengrade {
 
@@ -11,12 +13,14 @@
     std::chrono::milliseconds{20}; ///< one event loop iteration and a new connection
 constexpr duration no_server_retry_after =
     std::chrono::milliseconds{100}; ///< until a lost server is tried again
+constexpr double usual_reply_quantile = 0.9;
 
 } // namespace
 
 admission_decision admit(const dispatcher& servers, const admission_inputs& it) {
     admission_decision decision;
-    duration min_excess = duration::max();
+    std::vector<duration> excess; // of the waits at reachable sets that cannot reply in time
+    const duration reply = servers.latency_quantile(it.work, usual_reply_quantile).value_or(duration{0});
     for (const replica_set_name& set : it.sets) {
         const availability found = servers.availability_of(set, {}, placement_purpose::no_trial);
         if (found == availability::none)
@@ -26,17 +30,27 @@
             ++decision.in_time;
             continue;
         }
-        const duration wait = servers.expected_wait(set, it.work).value_or(duration{0});
+        const duration queue = servers.expected_wait(set, it.work).value_or(duration{0});
+        const duration rate = servers.rate_wait(set, {});
+        const duration wait = std::max(queue, rate);
         decision.longest_wait = std::max(decision.longest_wait.value_or(duration{0}), wait);
-        if (found == availability::waiting && wait < it.time_left)
+        const duration rate_excess = rate + reply - std::min(it.target_left, it.time_left);
+        const bool is_within_rates = rate.count() == 0 || rate_excess <= duration{0};
+        if (found == availability::waiting && queue < it.time_left && is_within_rates)
             ++decision.in_time;
         else
-            min_excess = std::min(min_excess, wait - it.time_left);
+            excess.push_back(is_within_rates ? queue - it.time_left
+                                             : std::max(queue - it.time_left, rate_excess));
     }
-    if (decision.reachable < it.min_sets)
+    if (decision.reachable < it.min_sets) {
         decision.refusal = refused_answer{forward_refusal::no_server, no_server_retry_after};
-    else if (decision.in_time < it.min_sets)
-        decision.refusal = refused_answer{forward_refusal::overload, std::max(min_retry_after, min_excess)};
+    } else if (decision.in_time < it.min_sets) {
+        // The request can be served once as many more sets as it lacks have room.
+        const auto last_needed =
+            excess.begin() + static_cast<std::ptrdiff_t>(it.min_sets - decision.in_time - 1);
+        std::nth_element(excess.begin(), last_needed, excess.end());
+        decision.refusal = refused_answer{forward_refusal::overload, std::max(min_retry_after, *last_needed)};
+    }
     return decision;
 }
 
--- a/packages/core/queries/forward_run.cpp
+++ b/packages/core/queries/forward_run.cpp
@@ -29,6 +29,18 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(std::max(0.0, wanted)));
 }
 
+admission_inputs admission_inputs_of(const forward_job& job, time_point now) {
+    const route& via = *job.via;
+    admission_inputs inputs;
+    for (const gather_target& it : job.targets)
+        inputs.sets.push_back(it.set);
+    inputs.min_sets = via.is_gather() ? least_shards(via.min_shard_ratio, via.shards.size()) : 1;
+    inputs.work = work_class{via.name};
+    inputs.time_left = job.deadline - now;
+    inputs.target_left = job.soft_deadline.value_or(job.deadline) - now;
+    return inputs;
+}
+
 forward_run::forward_run(run_context context, forward_job job, forward_hook finish)
     : context_{context}, job_{std::move(job)}, finish_{std::move(finish)} {
     gather_hooks hooks;
@@ -113,11 +125,24 @@
     return it;
 }
 
+std::optional<refused_answer> forward_run::refusal_within_rates() const {
+    const auto& shards = gather_->shards();
+    if (std::none_of(shards.begin(), shards.end(),
+                     [](const shard_progress& it) { return it.last_error == attempt_error::rate_limited; }))
+        return std::nullopt;
+    // The caller is told to return when a new request of its kind would be admitted.
+    const auto decision = admit(context_.servers, admission_inputs_of(job_, job_.arrived));
+    return refused_answer{forward_refusal::overload,
+                          decision.refusal ? decision.refusal->retry_after : refused_retry_after};
+}
+
 forward_answer forward_run::answer_without_reply() const {
     const bool is_late = context_.timers.now() >= job_.deadline - deadline_margin;
     if (!gather_->may_have_run()) {
         if (is_late)
             return refused_answer{forward_refusal::no_time, refused_retry_after};
+        if (const auto refusal = refusal_within_rates())
+            return *refusal;
         const bool was_shed =
             std::any_of(gather_->shards().begin(), gather_->shards().end(),
                         [](const shard_progress& it) { return it.last_error == attempt_error::shed; });
--- a/packages/core/queries/forward_run.h
+++ b/packages/core/queries/forward_run.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/config/route_table.h"
+#include "core/queries/admission.h"
 #include "core/queries/forward_type.h"
 #include "core/queries/gather.h"
 
@@ -24,6 +25,9 @@
         soft_deadline; ///< from then on the least shards are answered; nullopt for never
 };
 
+/** @return what admission control needs to know of a job, as of @p now. */
+[[nodiscard]] admission_inputs admission_inputs_of(const forward_job& job, time_point now);
+
 /**
  * Runs one forwarded request, which gets exactly one answer. A request that is not idempotent is sent to a
  * second server only if the first proved that it did not run the request; a refusal is given only if no
@@ -56,6 +60,8 @@
     [[nodiscard]] forward_answer single_answer();
     [[nodiscard]] forward_answer merged_answer();
     [[nodiscard]] forward_answer answer_without_reply() const;
+    /** @return the refusal if nothing was sent because of the rates that servers state; nullopt otherwise. */
+    [[nodiscard]] std::optional<refused_answer> refusal_within_rates() const;
 
     run_context context_;                  ///< components of the node
     forward_job job_;                      ///< the request and where it goes
--- a/packages/core/queries/forwarder.cpp
+++ b/packages/core/queries/forwarder.cpp
@@ -181,15 +181,7 @@
 }
 
 void forwarder::run_locally(run_id id, forward_job job, forward_hook respond) {
-    const route& via = *job.via;
-    admission_inputs inputs;
-    std::vector<replica_set_name> sets;
-    for (const gather_target& it : job.targets)
-        sets.push_back(it.set);
-    inputs.sets = sets;
-    inputs.min_sets = via.is_gather() ? least_shards(via.min_shard_ratio, via.shards.size()) : 1;
-    inputs.work = work_class{via.name};
-    inputs.time_left = job.deadline - context_.timers.now();
+    const admission_inputs inputs = admission_inputs_of(job, context_.timers.now());
     admission_decision decision;
     if (inputs.time_left < min_time_left)
         decision.refusal = refused_answer{forward_refusal::no_time, duration{0}};
--- a/packages/core/queries/gather.cpp
+++ b/packages/core/queries/gather.cpp
@@ -27,6 +27,7 @@
         return missing_reason::no_replica;
     switch (*last_error) {
     case attempt_error::shed:
+    case attempt_error::rate_limited:
         return missing_reason::load_shed;
     case attempt_error::version_absent:
         return missing_reason::version_absent;
@@ -116,6 +117,17 @@
                         [this](const shard_progress& it) { return !it.settled && is_reply_expected(it); });
 }
 
+bool gather::exceeds_rate_limits(const attempt_request& request) const {
+    const duration wait = context_.servers.rate_wait(request.set, request.excluded);
+    if (wait.count() == 0)
+        return false;
+    const time_point now = context_.timers.now();
+    const bool may_be_in_time = plan_.soft_deadline && *plan_.soft_deadline > now;
+    const time_point latest = may_be_in_time ? *plan_.soft_deadline : plan_.deadline;
+    return now + wait + context_.servers.latency_quantile(plan_.work, hedge_quantile).value_or(duration{0}) >
+           latest;
+}
+
 std::optional<missing_reason> gather::send_attempt(std::size_t index, placement_purpose purpose) {
     shard_progress& shard = shards_[index];
     attempt_request request;
@@ -126,7 +138,7 @@
     const availability found = context_.servers.availability_of(request.set, request.excluded, purpose);
     if (found == availability::none)
         return missing_reason::no_replica;
-    if (found == availability::full)
+    if (found == availability::full || exceeds_rate_limits(request))
         return missing_reason::load_shed;
     ++context_.counts.counter("shard_requests_sent");
     request.work = plan_.work;
@@ -235,6 +247,10 @@
         return;
     if (shard.retried)
         plan_.targets[index].budget->on_retry_ended(false);
+    if (code == attempt_error::rate_limited) {
+        settle(index, reason_of(code));
+        return;
+    }
     if (defers_retry(index, code)) {
         shard.awaits_choice = true;
         if (!std::exchange(choice_pending_, true))
--- a/packages/core/upstreams/dispatcher.cpp
+++ b/packages/core/upstreams/dispatcher.cpp
@@ -18,6 +18,12 @@
 /** Longest wait for a cancelled request to end, without the margin. */
 constexpr duration max_abort_delay = std::chrono::seconds{1};
 
+/** @return whether a hedge may go to a server; one that limits its load keeps its requests for first
+ * attempts. */
+bool accepts_hedges(const upstream& server, time_point now) {
+    return server.condition(now) == upstream_condition::ready && !server.rate().stated();
+}
+
 } // namespace
 
 dispatcher::dispatcher(timer_queue& timers, event_log& log, metrics& counts,
@@ -43,6 +49,7 @@
 void dispatcher::put_server(const upstream_identity& identity, upstream_limits limits) {
     const auto [it, is_new] = upstreams_.try_emplace(identity.id, identity, limits);
     it->second.set_limits(limits);
+    it->second.rate().set_sharing_nodes(timers_.now(), limits.sharing_nodes);
     if (is_new) {
         log_.record(event_kind::upstream_added, {}, identity.id.value(),
                     {{event_key::address, identity.address.value()},
@@ -123,7 +130,7 @@
         const upstream_condition condition = server->condition(now);
         if (condition == upstream_condition::leaving || condition == upstream_condition::unresponsive)
             continue;
-        if (purpose == placement_purpose::hedge && condition != upstream_condition::ready)
+        if (purpose == placement_purpose::hedge && !accepts_hedges(*server, now))
             continue;
         if (server->connection_for_request(now))
             return availability::immediate;
@@ -164,6 +171,28 @@
     return each * (ahead / parallel + 1);
 }
 
+duration dispatcher::rate_wait(const replica_set_name& name, std::span<const upstream_id> excluded) const {
+    const replica_set* set = set_of(name);
+    if (set == nullptr)
+        return duration{0};
+    const time_point now = timers_.now();
+    std::vector<const rate_limit*> rates;
+    for (const upstream_id& id : set->members) {
+        const upstream* server = find(id);
+        if (server == nullptr || std::find(excluded.begin(), excluded.end(), id) != excluded.end())
+            continue;
+        const upstream_condition condition = server->condition(now);
+        if (condition == upstream_condition::leaving || condition == upstream_condition::unresponsive)
+            continue;
+        if (server->open_connections() == 0 && server->health().is_unreachable())
+            continue;
+        if (!server->rate().stated())
+            return duration{0};
+        rates.push_back(&server->rate());
+    }
+    return time_to_send(rates, now, set->waiting_in_time(now) + 1);
+}
+
 std::optional<upstream_id> dispatcher::choose_server(const attempt_request& request) {
     const replica_set* set = set_of(request.set);
     if (set == nullptr)
@@ -180,10 +209,12 @@
         const upstream_condition condition = server->condition(now);
         if (condition == upstream_condition::leaving || condition == upstream_condition::unresponsive)
             continue;
+        if (request.purpose == placement_purpose::hedge && !accepts_hedges(*server, now))
+            continue;
         const bool is_ready = condition == upstream_condition::ready;
         if (!server->connection_for_request(now)) {
-            ready_expected =
-                ready_expected || (is_ready && (server->is_connecting() || server->open_connections() > 0));
+            ready_expected = ready_expected || (is_ready && server->rate().may_send(now) &&
+                                                (server->is_connecting() || server->open_connections() > 0));
             continue;
         }
         servers.push_back(server);
@@ -215,6 +246,7 @@
     it.place = {it.request.priority, it.request.target - reply, id};
     sets_[it.request.set].waiting.insert(it.place);
     connect_for(it.request);
+    arm_rate_check(it.request.set);
     return id;
 }
 
@@ -265,21 +297,49 @@
         transmit(it.id, *server);
     }
     fail_unservable(set);
+    arm_rate_check(name);
+}
+
+void dispatcher::arm_rate_check(const replica_set_name& name) {
+    if (const auto pending = rate_checks_.extract(name); !pending.empty())
+        timers_.cancel(pending.mapped());
+    const replica_set& set = sets_.at(name);
+    if (set.waiting.empty())
+        return;
+    const time_point now = timers_.now();
+    std::optional<duration> next;
+    for (const upstream_id& id : set.members) {
+        const upstream* server = find(id);
+        if (server != nullptr && !server->rate().may_send(now))
+            next = std::min(next.value_or(duration::max()), server->rate().time_until(now, 1));
+    }
+    if (!next)
+        return;
+    // One that has become too late for its target is overtaken by later ones: it is given up at once.
+    constexpr duration clock_step{1};
+    const duration too_late_in = set.waiting.begin()->latest_start - now + clock_step;
+    if (too_late_in.count() > 0)
+        next = std::min(*next, too_late_in);
+    rate_checks_[name] = timers_.schedule_after(*next, [this, name] {
+        rate_checks_.erase(name);
+        dispatch_waiting(name);
+    });
 }
 
 void dispatcher::fail_unservable(replica_set& set) {
-    std::vector<attempt_id> unservable;
+    std::vector<std::pair<attempt_id, attempt_error>> unservable;
     for (const waiting_attempt& it : set.waiting) {
         const attempt_request& request = attempts_.at(it.id).request;
         if (availability_of(request.set, request.excluded, request.purpose) == availability::none)
-            unservable.push_back(it.id);
+            unservable.emplace_back(it.id, attempt_error::not_sent);
+        else if (it.is_too_late(timers_.now()) && rate_wait(request.set, request.excluded).count() > 0)
+            unservable.emplace_back(it.id, attempt_error::rate_limited);
     }
-    for (const attempt_id id : unservable) {
+    for (const auto& [id, error] : unservable) {
         set.waiting.erase(attempts_.at(id).place);
         // Reported on the next turn of the event loop: the requester may be in the middle of a decision now.
-        timers_.schedule_after(duration{0}, [this, id] {
-            finish(id, send_state::not_connected,
-                   tl::unexpected{attempt_failure{attempt_error::not_sent, {}}});
+        timers_.schedule_after(duration{0}, [this, id = id, error = error] {
+            finish(id, send_state::not_connected, tl::unexpected{attempt_failure{error, {}}});
         });
     }
 }
--- a/packages/core/upstreams/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -79,6 +79,12 @@
     /** @return the expected time until a new request is answered; nullopt if no server is usable. */
     [[nodiscard]] std::optional<duration> expected_wait(const replica_set_name& set,
                                                         const work_class& work) const;
+    /**
+     * @return the time until a new attempt may be sent within the request rates that the servers state; zero
+     * if a usable server states none
+     */
+    [[nodiscard]] duration rate_wait(const replica_set_name& set,
+                                     std::span<const upstream_id> excluded) const;
     /** @return a quantile of the reply times of a kind of work; nullopt while too few are known. */
     [[nodiscard]] std::optional<duration> latency_quantile(const work_class& work, double quantile) const;
 
@@ -137,6 +143,8 @@
     void dispatch_waiting(const replica_set_name& name);
     void dispatch_waiting_for(const upstream_id& id);
     void fail_unservable(replica_set& set);
+    /** Sends waiting attempts of a set again once a server's stated rate allows the next request. */
+    void arm_rate_check(const replica_set_name& name);
     void finish(attempt_id id, send_state state, attempt_result result);
     void connect(upstream& server);
     void connect_for(const attempt_request& request);
@@ -170,6 +178,7 @@
     std::unordered_map<connection_id, upstream_id> owners_;        ///< the server of each connection
     std::map<connection_id, timer_id> connect_timeouts_;           ///< timeouts of connections being opened
     std::map<upstream_id, timer_id> reconnects_;                   ///< pending attempts to reconnect
+    std::map<replica_set_name, timer_id> rate_checks_;             ///< see arm_rate_check()
     std::optional<timer_id> response_check_;                       ///< pending check_unresponsive()
     std::optional<timer_id> unused_check_;                         ///< pending close_unused()
     std::size_t live_attempts_ = 0;                                ///< see live_attempts()
--- a/packages/core/upstreams/dispatcher_connections.cpp
+++ b/packages/core/upstreams/dispatcher_connections.cpp
@@ -63,7 +63,7 @@
             continue;
         if (server->is_connecting())
             return; // A connection is already being opened.
-        if (!server->may_connect(now))
+        if (!server->may_connect(now) || !server->rate().may_send(now))
             continue;
         const bool is_better = best == nullptr || server->open_connections() < best->open_connections() ||
                                (server->identity().domain == domain_ && best->identity().domain != domain_);
--- a/packages/core/upstreams/dispatcher_results.cpp
+++ b/packages/core/upstreams/dispatcher_results.cpp
@@ -123,12 +123,15 @@
         return;
     if (!rate.is_readable)
         ++counts_.counter("rate_limits_unreadable");
-    switch (server.rate().on_reply(timers_.now(), sent.sent_at, rate)) {
+    constexpr std::uint64_t steps = 1024;
+    const double first_tokens = static_cast<double>(random_() % steps) / steps;
+    switch (server.rate().on_reply(timers_.now(), sent.sent_at, rate, first_tokens)) {
     case rate_change::none:
         break;
     case rate_change::stated:
         log_.record(event_kind::upstream_limited, {}, server.id().value(),
-                    {{event_key::limit_per_s, *server.rate().stated()}});
+                    {{event_key::limit_per_s, *server.rate().stated()},
+                     {event_key::share_per_s, server.rate().share()}});
         break;
     case rate_change::lifted:
         log_.record(event_kind::upstream_unlimited, {}, server.id().value());
--- a/packages/core/upstreams/server_pool.cpp
+++ b/packages/core/upstreams/server_pool.cpp
@@ -28,8 +28,36 @@
 constexpr duration settle_time = std::chrono::milliseconds{500};
 constexpr duration max_settle_time = std::chrono::seconds{2}; ///< by then all nodes know each other
 
+/** Time for which nodes that are gone may only have lost contact; longer than a partition usually lasts. */
+constexpr duration lost_contact_time = std::chrono::seconds{60};
+/** Factor by which nodes that lost contact may exceed a stated rate together. */
+constexpr double max_rate_growth = 1.3;
+/**
+ * A node that does not hold a service's connections sends it requests only if no holder answers it. Its share
+ * of a stated rate is this fraction of a holder's.
+ */
+constexpr double non_holder_share = 1.0 / 16;
+
 } // namespace
 
+void rate_sharing_count::on_count(time_point now, std::uint32_t nodes) {
+    const bool has_fallen = nodes < nodes_ && nodes_ >= value(now);
+    if (has_fallen) {
+        before_ = std::max(nodes_, now < fell_at_ + lost_contact_time ? before_ : 0);
+        fell_at_ = now;
+    }
+    nodes_ = nodes;
+}
+
+double rate_sharing_count::value(time_point now) const {
+    const double held = now < fell_at_ + lost_contact_time ? before_ / max_rate_growth : 0;
+    return std::max({1.0, static_cast<double>(nodes_), held});
+}
+
+std::optional<time_point> rate_sharing_count::falls_at() const {
+    return before_ > nodes_ ? std::optional{fell_at_ + lost_contact_time} : std::nullopt;
+}
+
 server_pool::server_pool(timer_queue& timers, dispatcher& servers,
                          std::function<connection_plan(const service_name&)> plan)
     : timers_{timers}, servers_{servers}, plan_{std::move(plan)}, started_{timers.now()} {
@@ -86,8 +114,21 @@
     const std::uint32_t share = just_started_
                                     ? connection_share_after_start(max_connections, plan.nodes, plan.scope)
                                     : connection_share(max_connections, plan.nodes, plan.scope);
-    servers_.put_server({id_of(entry), entry.address, entry.domain, entry.name},
-                        {share, entry.slots, plan.keep_open && !settling_});
+    servers_.put_server(
+        {id_of(entry), entry.address, entry.domain, entry.name},
+        {share, entry.slots, plan.keep_open && !settling_, sharing_nodes(entry.service, plan)});
+}
+
+double server_pool::sharing_nodes(const service_name& service, const connection_plan& plan) {
+    rate_sharing_count& count = sharing_[service];
+    const time_point now = timers_.now();
+    count.on_count(now, settling_ ? std::max(plan.nodes, min_assumed_nodes) : plan.nodes);
+    if (const auto when = count.falls_at(); when && *when > now && !share_check_)
+        share_check_ = timers_.schedule_at(*when, [this] {
+            share_check_.reset();
+            publish_all();
+        });
+    return plan.keep_open ? count.value(now) : count.value(now) / non_holder_share;
 }
 
 void server_pool::publish_set(const service_name& service) {
--- a/packages/core/upstreams/server_pool.h
+++ b/packages/core/upstreams/server_pool.h
@@ -42,6 +42,27 @@
 [[nodiscard]] std::uint32_t connection_share_after_start(std::uint32_t max_connections, std::uint32_t nodes,
                                                          sharing_scope scope);
 
+/**
+ * Counts the nodes among which a rate that servers state is divided. A node that no longer sees others cannot
+ * tell whether they stopped or only lost contact with it and still send requests. So after the count has
+ * fallen, a node's share grows only as far as the shares of two halves of a fleet that lost contact with each
+ * other still add up to little more than the stated rate.
+ */
+class rate_sharing_count {
+public:
+    /** Records how many nodes are known to share. */
+    void on_count(time_point now, std::uint32_t nodes);
+    /** @return the number of nodes to divide by, at least 1. */
+    [[nodiscard]] double value(time_point now) const;
+    /** @return when value() may fall without another call of on_count(); nullopt for never. */
+    [[nodiscard]] std::optional<time_point> falls_at() const;
+
+private:
+    std::uint32_t nodes_ = 0;  ///< the last count
+    std::uint32_t before_ = 0; ///< the highest count before it fell
+    time_point fell_at_{};     ///< when the count fell below before_
+};
+
 /** @return the name of the replica set of a service's servers. */
 [[nodiscard]] replica_set_name set_of(const service_name& service);
 
@@ -79,6 +100,8 @@
     void publish(const server_entry& entry);
     void publish_all();
     void publish_set(const service_name& service);
+    /** @return the number of nodes that a rate stated by the servers of a service is divided by. */
+    [[nodiscard]] double sharing_nodes(const service_name& service, const connection_plan& plan);
     void await_settling();
 
     timer_queue& timers_;                                      ///< the clock
@@ -87,8 +110,10 @@
     std::map<service_name, std::vector<upstream_id>> members_; ///< IDs of the same servers by service
     std::map<service_name, std::uint32_t> max_connections_;    ///< of each service that the routes describe
     std::function<connection_plan(const service_name&)> plan_; ///< see server_pool()
+    std::map<service_name, rate_sharing_count> sharing_;       ///< by service
     time_point started_;                                       ///< when this node started
     std::optional<timer_id> settled_;                          ///< pending end of the settle time
+    std::optional<timer_id> share_check_;                      ///< pending growth of shares of stated rates
     bool settling_ = true;                                     ///< whether other nodes may not be known yet
     bool just_started_ = true; ///< whether connection_share_after_start() applies
 };
--- a/packages/core/upstreams/upstream.cpp
+++ b/packages/core/upstreams/upstream.cpp
@@ -83,6 +83,8 @@
 }
 
 std::optional<connection_id> upstream::connection_for_request(time_point now) const {
+    if (!rate_.may_send(now))
+        return std::nullopt;
     const auto working =
         std::count_if(in_flight_.begin(), in_flight_.end(),
                       [this](const request_in_flight& it) { return it.sent >= ignored_before_; });
@@ -146,6 +148,7 @@
     connection_state& it = at(connection);
     assert(it.open && !it.busy);
     it.busy = true;
+    rate_.on_sent(now);
     in_flight_.push_back({attempt, connection, now, usual_latency});
 }
 
--- a/packages/core/upstreams/upstream.h
+++ b/packages/core/upstreams/upstream.h
@@ -29,7 +29,8 @@
 struct upstream_limits {
     std::uint32_t max_connections = 2; ///< this node's share of the server's connections
     std::uint32_t slots = 2;           ///< requests that the server runs at a time, from all nodes
-    bool keep_open = true; ///< whether an idle connection is kept open; otherwise one is opened on demand
+    bool keep_open = true;    ///< whether an idle connection is kept open; otherwise one is opened on demand
+    double sharing_nodes = 1; ///< what a request rate that the server states is divided by
 };
 
 /** Whether a server is sent new requests. */
@@ -96,7 +97,7 @@
 
     /** @return the most recently used open connection without a request; nullopt if there is none. */
     [[nodiscard]] std::optional<connection_id> idle_connection(time_point now) const;
-    /** @return a connection for a new request; nullopt if none is idle or the server has enough requests. */
+    /** @return a connection for a new request; nullopt if none is idle or the server takes no more now. */
     [[nodiscard]] std::optional<connection_id> connection_for_request(time_point now) const;
     /** @return whether one more connection may be opened at @p now. */
     [[nodiscard]] bool may_connect(time_point now) const;
--- a/tests/support/load_model.cpp
+++ b/tests/support/load_model.cpp
@@ -227,7 +227,7 @@
                 members.emplace_back("i" + std::to_string(number));
                 servers_.put_server({members.back(), upstream_address{std::to_string(number)},
                                      failure_domain{std::to_string(replica)}, members.back().value()},
-                                    {share, plan.slots});
+                                    {share, plan.slots, true, static_cast<double>(plan.nodes)});
             }
             servers_.set_members(replica_set_name{"s" + std::to_string(shard)}, members, 16);
         }
