--- a/packages/core/upstreams/rate_limit.cpp
+++ b/packages/core/upstreams/rate_limit.cpp
@@ -18,7 +18,7 @@
 constexpr double min_rate = 0.25;
 /** Requests that may be saved up, in seconds of the share; always at least one request. */
 constexpr double bucket_depth_s = 0.25;
-constexpr double rounding = 1e-6; ///< of a token, lost in sums of small fractions
+constexpr double rounding = 1e-6;    ///< of a token, lost in sums of small fractions
 constexpr double max_sendable = 1e6; ///< caps the result of sendable()
 constexpr double us_per_s = 1e6;
 
