--- a/packages/core/cluster/config_gossip.cpp
+++ b/packages/core/cluster/config_gossip.cpp
@@ -27,6 +27,8 @@
             ++counts_.counter("config_rejected");
         if (result != offer_result::stale)
             updates.push_back(it);
+        else if (const object_version held = store_.version_of(it.key); it.version < held)
+            hooks_.outdated(it, held);
     }
     if (updates.empty())
         return;
--- a/packages/core/cluster/config_gossip.h
+++ b/packages/core/cluster/config_gossip.h
@@ -38,7 +38,9 @@
     std::function<void(const node_address&, const std::vector<config_entry>&)>
         push; ///< sends entries, best effort
     std::function<void(const node_address&, const std::vector<config_version>&, pulled)>
-        pull;                        ///< requests entries that are missing from the given versions, or newer
+        pull; ///< requests entries that are missing from the given versions, or newer
+    /** Called when an object is ignored because a later version is held; takes the version held. */
+    std::function<void(const config_entry&, object_version)> outdated;
     std::function<void()> completed; ///< called when all configuration was first received from a peer
 };
 
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -43,7 +43,8 @@
 cluster::cluster(const node_settings& settings, loop_clock& clock, event_log& log, metrics& counts,
                  config_store& store, registry& servers, const std::function<std::uint64_t()>& random,
                  cluster_hooks hooks)
-    : clock_{clock}, hooks_{std::move(hooks)}, store_{store}, servers_{servers}, client_{clock, log},
+    : clock_{clock}, log_{log}, counts_{counts}, hooks_{std::move(hooks)}, store_{store}, servers_{servers},
+      client_{clock, log},
       membership_{clock.timers(),         log, counts, random, local_member(settings), settings.seeds,
                   make_membership_hooks()},
       config_gossip_{clock.timers(), store, counts,
@@ -90,6 +91,11 @@
     };
     it.pull = [this](const node_address& from, const std::vector<config_version>& known,
                      const config_gossip_hooks::pulled& done) { client_.pull_config(from, known, done); };
+    it.outdated = [this](const config_entry& entry, object_version held) {
+        ++counts_.counter("config_outdated");
+        log_.record(event_kind::config_outdated, {}, entry.key.name,
+                    {{event_key::revision, entry.version.value()}, {event_key::version, held.value()}});
+    };
     it.completed = [this] { hooks_.completed(); };
     return it;
 }
--- a/packages/daemon/cluster.h
+++ b/packages/daemon/cluster.h
@@ -84,6 +84,8 @@
     peer_hooks make_peer_hooks();
 
     loop_clock& clock_;                        ///< clock and timers of the main loop
+    event_log& log_;                           ///< the event log
+    metrics& counts_;                          ///< counters
     cluster_hooks hooks_;                      ///< callbacks to the node
     config_store& store_;                      ///< local configuration
     registry& servers_;                        ///< local registry
--- a/tests/core/cluster/cluster_logic_test.cpp
+++ b/tests/core/cluster/cluster_logic_test.cpp
@@ -185,6 +185,7 @@
             },
             done);
     };
+    it.outdated = [](const config_entry&, object_version) {};
     it.completed = [] {};
     return it;
 }
