Fix: versions of the platform's objects hold across a restore of the store from a copy

Callers got 404 on a route, and old routes' answers, seconds after the store had acknowledged the change. Cause: the store's revision was taken for the order of writes everywhere: configuration and its gossip, the registry and its peers' sync, and the watch. A store that comes back from a copy gives revisions out again. Class of fault: a counter of another system taken as unique for ever. Evidence: config_outdated revision=46 version=47 on all seven nodes after platform_restored era=2; routes 11 came at 47 again. Change: a version is an era and a number, the era first. A watch answered in another era leads to a list. The registry moves to the later era with its list, sends peers of the earlier one all entries, and gives servers that the copy lacks time to register again. Between nodes the era travels in new fields; the version of routes from nodes of earlier builds, which know none, is read from the text. Why it works: no number is compared with one of another history, and what orders routes does not come from the store. Ruled out: no stale first list (4 to 7 calls a node more at each start).

--- a/packages/core/cluster/object_watcher.cpp
+++ b/packages/core/cluster/object_watcher.cpp
@@ -79,7 +79,9 @@
                  [this, is_liveness_check](const tl::expected<object_changes, store_error>& result) {
                      const bool is_gone = !result && result.error() == store_error::history_gone;
                      hooks_.reached(result.has_value() || is_gone);
-                     if (is_gone) {
+                     // A store that came back from a copy may have given the revision out again.
+                     const bool is_other_history = result && result->revision.era() != revision_.era();
+                     if (is_gone || is_other_history) {
                          // Changes were missed: only a list shows the current objects.
                          busy_ = false;
                          current_ = false;
--- a/packages/core/cluster/object_watcher.h
+++ b/packages/core/cluster/object_watcher.h
@@ -30,7 +30,8 @@
 
 /**
  * Lists all objects of a kind, then keeps one watch (a long poll) open. After a watch that brought changes,
- * the next one starts after a short delay, so that changes in quick succession cost one call. A failed call
+ * the next one starts after a short delay, so that changes in quick succession cost one call. An answer
+ * of another era of the store leads to a new list. A failed call
  * is retried with exponential backoff and jitter. A change ends the watches of all nodes at once, so the wait
  * of the next watch is random and the following watches end one after another. If the store has lost them,
  * the node whose watch ends first notices, and its peers see that it is ahead.
--- a/packages/core/config/config_store.cpp
+++ b/packages/core/config/config_store.cpp
@@ -9,7 +9,7 @@
 
 std::uint64_t hash_of(const config_key& key, object_version version) {
     const std::string text = std::to_string(static_cast<unsigned>(key.kind)) + '\0' + key.name + '\0' +
-                             std::to_string(version.value());
+                             std::to_string(version.value()) + '\0' + std::to_string(version.era());
     return XXH3_64bits(text.data(), text.size());
 }
 
--- a/packages/core/config/config_store.h
+++ b/packages/core/config/config_store.h
@@ -31,7 +31,7 @@
 /** One configuration object as the platform accepted it. */
 struct config_entry {
     config_key key;         ///< identifies the object
-    object_version version; ///< version that the platform assigned
+    object_version version; ///< of its last write; no store that came back from a copy gives it out again
     std::string text;       ///< content of the object
 };
 
@@ -43,9 +43,9 @@
 };
 
 /**
- * Keeps the latest version of each object. The platform's versions order the changes in the same way
- * for all nodes, so a node that ignores lower versions never reverts to an older object. Modelled in
- * models/config.pml.
+ * Keeps the latest version of each object. The versions order the writes in the same way for all nodes,
+ * also across a restore of the platform's store from a copy, so a node that ignores lower versions never
+ * reverts to an older object. Modelled in models/config.pml.
  */
 class config_store {
 public:
--- a/packages/core/config/object_type.h
+++ b/packages/core/config/object_type.h
@@ -39,7 +39,7 @@
 /** One object. */
 struct stored_object {
     std::string name;       ///< name, unique within its kind
-    object_version version; ///< revision of its last change
+    object_version version; ///< of its last change; routes: the number that their operator gave them
     object_content content; ///< decoded content
 };
 
--- a/packages/core/upstreams/registry.cpp
+++ b/packages/core/upstreams/registry.cpp
@@ -17,6 +17,17 @@
 registry::registry(timer_queue& timers, event_log& log, metrics& counts, changed_hook changed)
     : timers_{timers}, log_{log}, counts_{counts}, changed_{std::move(changed)} {}
 
+bool registry::advance(object_version revision) {
+    const bool is_restored = revision_ != object_version{} && revision.era() > revision_.era();
+    revision_ = revision;
+    if (!is_restored)
+        return false;
+    // Peers in the earlier era must be sent all entries, and servers that the copy lacks register again.
+    clear_changes();
+    on_store_regained();
+    return true;
+}
+
 void registry::on_store_regained() {
     delay_removals_until_ = timers_.now() + reregistration_time;
 }
@@ -25,7 +36,7 @@
     if (list.revision <= revision_)
         return;
     const bool is_first = revision_ == object_version{};
-    revision_ = list.revision;
+    advance(list.revision);
     std::set<std::string> listed;
     for (const stored_object& it : list.objects) {
         listed.insert(it.name);
@@ -43,7 +54,8 @@
 }
 
 void registry::apply(const object_changes& changes) {
-    if (changes.revision <= revision_)
+    // Changes of a later era do not continue the entries held: a list replaces these first.
+    if (changes.revision <= revision_ || changes.revision.era() != revision_.era())
         return;
     revision_ = changes.revision;
     for (const object_change& it : changes.changes) {
@@ -66,7 +78,7 @@
     if (other.revision <= revision_)
         return false;
     const bool is_first = revision_ == object_version{};
-    revision_ = other.revision;
+    advance(other.revision);
     std::set<std::string> listed;
     for (const registry_item& it : other.items) {
         const std::string& name = it.entry.name;
--- a/packages/core/upstreams/registry.h
+++ b/packages/core/upstreams/registry.h
@@ -49,7 +49,8 @@
  * server.
  *
  * Removals received right after a store outage take effect only after a delay: entries expire during the
- * outage, and live servers register again.
+ * outage, and live servers register again. The same holds for servers that a copy lacks from which the store
+ * came back.
  */
 class registry {
 public:
@@ -82,6 +83,8 @@
         time_point until; ///< when the timer fires
     };
 
+    /** Moves to a revision from the store or a peer. @return whether it belongs to a later era */
+    bool advance(object_version revision);
     void put(const server_entry& entry);
     void remove(const std::string& name);
     void delay_removal(const std::string& name, time_point until);
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -6,6 +6,7 @@
 
 #include "core/cluster/announce_func.h"
 #include "core/cluster/rendezvous_func.h"
+#include "platform/object_decoder.h"
 
 namespace pollengrade {
 
@@ -38,6 +39,25 @@
     return it;
 }
 
+/**
+ * Reads the version of routes from their text, because nodes of earlier builds send the store's revision
+ * instead, which a store that came back from a copy gives out again. Routes without a readable version are
+ * left out.
+ */
+std::vector<config_entry> with_versions_of_text(std::vector<config_entry> entries) {
+    std::vector<config_entry> valid;
+    for (config_entry& it : entries) {
+        if (it.key.kind == config_kind::routes) {
+            const auto version = routes_version(it.text);
+            if (!version)
+                continue;
+            it.version = *version;
+        }
+        valid.push_back(std::move(it));
+    }
+    return valid;
+}
+
 } // namespace
 
 cluster::cluster(const node_settings& settings, loop_clock& clock, event_log& log, metrics& counts,
@@ -90,7 +110,13 @@
         client_.push_config(to, entries);
     };
     it.pull = [this](const node_address& from, const std::vector<config_version>& known,
-                     const config_gossip_hooks::pulled& done) { client_.pull_config(from, known, done); };
+                     const config_gossip_hooks::pulled& done) {
+        client_.pull_config(from, known, [done](std::optional<pull_reply> reply) {
+            if (reply)
+                reply->entries = with_versions_of_text(std::move(reply->entries));
+            done(reply);
+        });
+    };
     it.outdated = [this](const config_entry& entry, object_version held) {
         ++counts_.counter("config_outdated");
         log_.record(event_kind::config_outdated, {}, entry.key.name,
@@ -125,7 +151,9 @@
                       [done](const std::optional<gossip_message>& reply) { done(reply.has_value()); });
     };
     it.members = [this](const std::vector<std::uint64_t>& known) { return membership_.all_but(known); };
-    it.on_push = [this](const std::vector<config_entry>& entries) { config_gossip_.take(entries); };
+    it.on_push = [this](const std::vector<config_entry>& entries) {
+        config_gossip_.take(with_versions_of_text(entries));
+    };
     it.on_pull = [this](const std::vector<config_version>& known) {
         return config_gossip_.answer_pull(known);
     };
--- a/packages/peer/peer.capnp
+++ b/packages/peer/peer.capnp
@@ -25,6 +25,7 @@
   stampWallMs @4 :Int64;    # the sender's hybrid logical clock
   stampCounter @5 :UInt32;
   registryChanged @6 :UInt64; # registry revision of the latest server entry change known to the sender
+  registryEra @7 :UInt64;     # the store's era of that revision; 0 from builds that know no era
 }
 
 # A server's registry entry: core/upstreams/server_entry.h.
@@ -40,6 +41,7 @@
   version @8 :UInt64;       # the platform's revision
   state @9 :UInt8;          # entry_state
   doubtLeftMs @10 :UInt32 = 2500; # if removal is pending: time until the entry counts as removed
+  era @11 :UInt64;          # the store's era of the revision
 }
 
 struct Field {
@@ -77,8 +79,9 @@
 struct ConfigEntry {
   kind @0 :UInt8;           # config_kind
   name @1 :Text;
-  version @2 :UInt64;       # the platform's revision
+  version @2 :UInt64;       # routes: the number in their text; others: the platform's revision
   text @3 :Data;            # empty where only the version is sent
+  era @4 :UInt64;           # the store's era in which the object was written; 0 for routes
 }
 
 interface Peer {
@@ -90,7 +93,8 @@
   push @3 (entries :List(ConfigEntry)) -> ();
   pull @4 (known :List(ConfigEntry)) -> (entries :List(ConfigEntry), complete :Bool);
   # Returns the registry's changes after a revision; a reply with revision 0 means that there is nothing to send.
-  servers @5 (laterThan :UInt64) -> (revision :UInt64, isWhole :Bool, items :List(ServerEntry));
+  servers @5 (laterThan :UInt64, era :UInt64)
+      -> (revision :UInt64, isWhole :Bool, items :List(ServerEntry), era :UInt64);
   # Runs a query for a node that does not hold the connections to the query's shards.
   forward @6 (request :DelegatedRequest) -> (answer :DelegatedAnswer);
 }
--- a/packages/peer/peer.capnp.h
+++ b/packages/peer/peer.capnp.h
@@ -71,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c301247bd356c89f, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c301247bd356c89f, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -86,7 +86,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d192ca4076c7154b, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d192ca4076c7154b, 6, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -146,7 +146,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e8d53481fdb03a3, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9e8d53481fdb03a3, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -342,7 +342,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fbe6527ac43e6687, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(fbe6527ac43e6687, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -357,7 +357,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dd9fa72988ef46a5, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(dd9fa72988ef46a5, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -560,6 +560,8 @@
 
   inline  ::uint64_t getRegistryChanged() const;
 
+  inline  ::uint64_t getRegistryEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -617,6 +619,9 @@
   inline  ::uint64_t getRegistryChanged();
   inline void setRegistryChanged( ::uint64_t value);
 
+  inline  ::uint64_t getRegistryEra();
+  inline void setRegistryEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -687,6 +692,8 @@
 
   inline  ::uint32_t getDoubtLeftMs() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -764,6 +771,9 @@
   inline  ::uint32_t getDoubtLeftMs();
   inline void setDoubtLeftMs( ::uint32_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1196,6 +1206,8 @@
   inline bool hasText() const;
   inline  ::capnp::Data::Reader getText() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1244,6 +1256,9 @@
   inline void adoptText(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownText();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2181,6 +2196,8 @@
 
   inline  ::uint64_t getLaterThan() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2212,6 +2229,9 @@
   inline  ::uint64_t getLaterThan();
   inline void setLaterThan( ::uint64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2262,6 +2282,8 @@
   inline bool hasItems() const;
   inline  ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader getItems() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2303,6 +2325,9 @@
   inline void adoptItems(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::ServerEntry,  ::capnp::Kind::STRUCT>> disownItems();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2830,6 +2855,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Greeting::Reader::getRegistryEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Greeting::Builder::getRegistryEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Greeting::Builder::setRegistryEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServerEntry::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3064,6 +3103,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value, 2500u);
 }
 
+inline  ::uint64_t ServerEntry::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServerEntry::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Field::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3692,6 +3745,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ConfigEntry::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigEntry::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ConfigEntry::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -4044,6 +4111,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Peer::ServersParams::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::ServersParams::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ServersParams::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Peer::ServersResults::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4106,6 +4187,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Peer::ServersResults::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::ServersResults::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ServersResults::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::ForwardParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/peer/peer_client.cpp
+++ b/packages/peer/peer_client.cpp
@@ -154,9 +154,10 @@
         [later_than](wire::Peer::Client& peer) {
             auto request = peer.serversRequest();
             request.setLaterThan(later_than.value());
+            request.setEra(later_than.era());
             return request.send().then([](capnp::Response<wire::Peer::ServersResults>&& reply) {
-                return std::optional{registry_update{object_version{reply.getRevision()}, reply.getIsWhole(),
-                                                     read_items(reply.getItems())}};
+                return std::optional{registry_update{object_version{reply.getRevision(), reply.getEra()},
+                                                     reply.getIsWhole(), read_items(reply.getItems())}};
             });
         },
         done);
--- a/packages/peer/peer_codec.cpp
+++ b/packages/peer/peer_codec.cpp
@@ -58,6 +58,7 @@
     out.setStampWallMs(stamp.wall_ms);
     out.setStampCounter(stamp.counter);
     out.setRegistryChanged(it.registry_changed.value());
+    out.setRegistryEra(it.registry_changed.era());
 }
 
 std::optional<gossip_message> read_greeting(wire::Greeting::Reader in) {
@@ -69,7 +70,7 @@
     it.updates = read_members(in.getUpdates());
     it.config_digest = in.getConfigDigest();
     it.config_complete = in.getConfigComplete();
-    it.registry_changed = object_version{in.getRegistryChanged()};
+    it.registry_changed = object_version{in.getRegistryChanged(), in.getRegistryEra()};
     return it;
 }
 
@@ -81,6 +82,7 @@
     out.setKind(static_cast<std::uint8_t>(it.key.kind));
     out.setName(it.key.name);
     out.setVersion(it.version.value());
+    out.setEra(it.version.era());
     const auto* bytes =
         reinterpret_cast<const kj::byte*>(it.text.data()); // NOLINT(*-reinterpret-cast): KJ's bytes
     out.setText(kj::arrayPtr(bytes, it.text.size()));
@@ -99,7 +101,7 @@
             it.getName().size() > max_name_bytes)
             continue;
         list.push_back({{static_cast<config_kind>(it.getKind()), to_string_copy(it.getName())},
-                        object_version{it.getVersion()},
+                        object_version{it.getVersion(), it.getEra()},
                         std::string{text.begin(), text.end()}});
     }
     return list;
@@ -124,6 +126,7 @@
     out.setIsLeaving(it.entry.is_leaving);
     out.setWarmupLeftMs(it.entry.warmup_left_ms);
     out.setVersion(it.entry.version.value());
+    out.setEra(it.entry.version.era());
     out.setState(static_cast<std::uint8_t>(it.state));
     out.setDoubtLeftMs(
         static_cast<std::uint32_t>(std::max<std::int64_t>(0, to_milliseconds(it.removal_delay_left))));
@@ -142,7 +145,7 @@
         it.slots = reader.getSlots();
         it.is_leaving = reader.getIsLeaving();
         it.warmup_left_ms = reader.getWarmupLeftMs();
-        it.version = object_version{reader.getVersion()};
+        it.version = object_version{reader.getVersion(), reader.getEra()};
         const bool is_valid = is_address(it.address.value()) && it.slots > 0 &&
                               reader.getState() <= static_cast<std::uint8_t>(entry_state::removed);
         if (is_valid)
--- a/packages/peer/peer_server.cpp
+++ b/packages/peer/peer_server.cpp
@@ -76,9 +76,10 @@
 
     kj::Promise<void> servers(ServersContext context) override {
         clock_.sync();
-        const registry_update update =
-            hooks_.registry_changes(object_version{context.getParams().getLaterThan()});
+        const registry_update update = hooks_.registry_changes(
+            object_version{context.getParams().getLaterThan(), context.getParams().getEra()});
         context.getResults().setRevision(update.revision.value());
+        context.getResults().setEra(update.revision.era());
         context.getResults().setIsWhole(update.is_whole);
         auto out = context.getResults().initItems(static_cast<unsigned>(update.items.size()));
         for (unsigned n = 0; n < out.size(); ++n)
--- a/tests/core/cluster/object_watcher_test.cpp
+++ b/tests/core/cluster/object_watcher_test.cpp
@@ -105,6 +105,19 @@
     CHECK(it.list_allowed_stale == std::vector<bool>{true, false});
 }
 
+TEST_CASE("a watch answered in a later era leads to a list although the revision exists again") {
+    watcher_fixture it;
+    it.watcher.start();
+    std::exchange(it.listing, nullptr)(object_list{object_version{7, 1}, {}});
+    std::exchange(it.watching,
+                  nullptr)(object_changes{object_version{9, 2}, {{object_of(entry_of("a", 9)), false}}});
+    CHECK(it.changed.empty());
+    REQUIRE(it.list_limits.size() == 2);
+    std::exchange(it.listing, nullptr)(object_list{object_version{6, 2}, {}});
+    CHECK(it.replaced == std::vector<std::uint64_t>{7, 6});
+    CHECK(it.watched_from == std::vector<std::uint64_t>{7, 6});
+}
+
 TEST_CASE("a failed watch is retried with backoff") {
     watcher_fixture it;
     it.watcher.start();
--- a/tests/fuzz/fuzz_inputs.cpp
+++ b/tests/fuzz/fuzz_inputs.cpp
@@ -55,9 +55,9 @@
 void read_platform(std::string_view text) {
     static_cast<void>(decode_routes(text));
     for (const object_kind kind : {object_kind::servers, object_kind::routes, object_kind::order_claim}) {
-        static_cast<void>(decode_page(kind, text));
-        static_cast<void>(decode_changes(kind, text));
-        static_cast<void>(decode_object(kind, text));
+        static_cast<void>(decode_page(kind, text, 1));
+        static_cast<void>(decode_changes(kind, text, 1));
+        static_cast<void>(decode_object(kind, text, 1));
     }
     static_cast<void>(decode_target(text));
 }
--- a/tests/platform/restored_store_test.cpp
+++ b/tests/platform/restored_store_test.cpp
@@ -18,8 +18,8 @@
            R"(}, "spec": {"config-version": )" + std::to_string(config_version) + "}}";
 }
 
-stored_object routes_of(int config_version, int revision) {
-    return decode_object(object_kind::routes, routes_object(config_version, revision)).value();
+stored_object routes_of(int config_version, int revision, std::uint64_t era) {
+    return decode_object(object_kind::routes, routes_object(config_version, revision), era).value();
 }
 
 /** A store of configuration that notes what it puts in force. */
@@ -40,10 +40,10 @@
 TEST_CASE("routes acknowledged after the store came back from a copy are in force although their revision is "
           "lower") {
     noting_store it;
-    it.offer(routes_of(6, 40));
-    it.offer(routes_of(9, 45));
-    CHECK(it.offer(routes_of(6, 40)) == offer_result::stale);
-    CHECK(it.offer(routes_of(11, 43)) == offer_result::accepted);
+    it.offer(routes_of(6, 40, 1));
+    it.offer(routes_of(9, 45, 1));
+    CHECK(it.offer(routes_of(6, 40, 2)) == offer_result::stale);
+    CHECK(it.offer(routes_of(11, 43, 2)) == offer_result::accepted);
     CHECK(it.in_force.size() == 3);
 }
 
