Fix: a server that left is not used again because a copy of the store still lists it

Callers' requests could go to a server that had left: the copy from which a store comes back holds entries as they were some seconds before. Cause: the list after a restore was taken as the servers that are there now. Change: the registry remembers for five minutes which start of a server was removed. If a restored list has it again, it is used only once its server writes, or once the entry has outlasted the lifetime that the store gives one without a sign of life (three heartbeats, a checked setting), plus the time to register again. A peer that knows only the copy brings back none. A server that leaves stays leaving in the same start. Conclusion: a node that starts after the restore and knows nothing of before still takes the copy's word: open.

--- a/packages/core/config/node_settings.cpp
+++ b/packages/core/config/node_settings.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<key_rule, 18> rules{{
+constexpr std::array<key_rule, 19> rules{{
     {"node", "name", setting_type::text, 1, 63, "", true, "", "",
      "Name of the node in logs and in the event log."},
     {"node", "interface", setting_type::choice, 0, 0, "documents", false, "documents|routes", "",
@@ -36,6 +36,9 @@
      "Comma-separated subsystems whose debug messages are logged, or all."},
     {"platform", "address", setting_type::text, 9, 21, "", true, "", "",
      "IPv4:port of the platform's object API."},
+    {"platform", "heartbeat_ms", setting_type::decimal, 10, 600000, "1200", false, "", "ms",
+     "Interval at which servers renew their entries; the platform removes an entry after three without a "
+     "sign of life."},
     {"cluster", "seeds", setting_type::text, 0, 4096, "", false, "", "",
      "Comma-separated list of other nodes' IPv4:port to contact first."},
     {"cluster", "peer_port", setting_type::number, 0, 65535, "0", false, "", "",
@@ -74,6 +77,11 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>{ini.decimal(group, key)});
 }
 
+duration milliseconds_of(const ini_document& ini, std::string_view group, std::string_view key) {
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>{ini.decimal(group, key)});
+}
+
 } // namespace
 
 std::span<const key_rule> node_settings_rules() {
@@ -101,6 +109,7 @@
     it.domain = failure_domain{ini->text("node", "failure_domain")};
     it.debug = ini->text("node", "debug");
     it.platform = address("platform", "address");
+    it.server_heartbeat = milliseconds_of(*ini, "platform", "heartbeat_ms");
     it.interface =
         ini->text("node", "interface") == "routes" ? interface_kind::routes : interface_kind::documents;
     if (it.interface == interface_kind::routes)
@@ -109,9 +118,7 @@
     it.capacity = static_cast<std::uint32_t>(ini->decimal("node", "cpu_share") *
                                              ini->decimal("node", "cpu_speed") * millicores_per_core);
     it.grace = seconds_of(*ini, "node", "grace_s");
-    constexpr double ms_per_s = 1000;
-    it.caller_round_trip = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>{ini->decimal("node", "caller_round_trip_ms") / ms_per_s});
+    it.caller_round_trip = milliseconds_of(*ini, "node", "caller_round_trip_ms");
     it.budget.ratio = ini->decimal("retries", "ratio");
     it.budget.slack = ini->decimal("retries", "slack");
     it.budget.window = seconds_of(*ini, "retries", "window_s");
--- a/packages/core/config/node_settings.h
+++ b/packages/core/config/node_settings.h
@@ -41,6 +41,7 @@
     duration caller_round_trip{};    ///< to callers whose connection does not tell it; routes only
     duration grace{};                ///< longest time from the stop signal to the end of the process
     node_address platform;           ///< address of the platform's object API
+    duration server_heartbeat{};     ///< interval at which servers renew their entries in the platform
     std::vector<node_address> seeds; ///< peers to contact first
     retry_budget_settings budget;    ///< limits on hedges and retries; routes only
     std::string debug;               ///< subsystems whose debug messages are logged, or "all"
--- a/packages/core/upstreams/registry.cpp
+++ b/packages/core/upstreams/registry.cpp
@@ -2,6 +2,7 @@
 #include "core/upstreams/registry.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -11,11 +12,15 @@
 
 /** Number of changes kept for peers that lag; a peer further behind is sent all entries. */
 constexpr std::size_t max_changes = 1024;
+/** Time for which a removed server is remembered; a store's copy is some seconds old. */
+constexpr duration departure_retention = std::chrono::minutes{5};
+constexpr std::size_t max_departures = 4096; ///< the oldest are forgotten first
 
 } // namespace
 
-registry::registry(timer_queue& timers, event_log& log, metrics& counts, changed_hook changed)
-    : timers_{timers}, log_{log}, counts_{counts}, changed_{std::move(changed)} {}
+registry::registry(timer_queue& timers, event_log& log, metrics& counts, changed_hook changed,
+                   registry_settings settings)
+    : timers_{timers}, log_{log}, counts_{counts}, changed_{std::move(changed)}, settings_{settings} {}
 
 bool registry::advance(object_version revision) {
     const bool is_restored = revision_ != object_version{} && revision.era() > revision_.era();
@@ -36,13 +41,13 @@
     if (list.revision <= revision_)
         return;
     const bool is_first = revision_ == object_version{};
-    advance(list.revision);
+    const bool is_restored = advance(list.revision);
     std::set<std::string> listed;
     for (const stored_object& it : list.objects) {
         listed.insert(it.name);
         changed_at_ = std::max(changed_at_, it.version);
         if (const auto* entry = std::get_if<server_entry>(&it.content))
-            put(*entry);
+            put_listed(*entry, is_restored);
         else
             note_unreadable(it.name, it.version);
     }
@@ -64,6 +69,7 @@
         const auto known = entries_.find(it.object.name);
         if (known != entries_.end() && it.object.version < known->second.version)
             continue;
+        cancel_return(it.object.name);
         if (it.removed) {
             remove(it.object.name);
         } else if (const auto* entry = std::get_if<server_entry>(&it.object.content)) {
@@ -78,7 +84,7 @@
     if (other.revision <= revision_)
         return false;
     const bool is_first = revision_ == object_version{};
-    advance(other.revision);
+    const bool is_restored = advance(other.revision);
     std::set<std::string> listed;
     for (const registry_item& it : other.items) {
         const std::string& name = it.entry.name;
@@ -88,7 +94,7 @@
             continue;
         }
         listed.insert(name);
-        put(it.entry);
+        put_listed(it.entry, is_restored);
         if (it.state == entry_state::removal_pending)
             delay_removal(name, timers_.now() +
                                     std::clamp(it.removal_delay_left, duration{0}, reregistration_time));
@@ -111,6 +117,12 @@
     }
     for (const std::string& name : missing)
         remove(name);
+    for (auto it = pending_returns_.begin(); it != pending_returns_.end();) {
+        const auto next = std::next(it);
+        if (!listed.contains(it->first))
+            cancel_return(it->first);
+        it = next;
+    }
 }
 
 void registry::clear_changes() {
@@ -154,7 +166,15 @@
     return update;
 }
 
-void registry::put(const server_entry& entry) {
+void registry::put(const server_entry& update) {
+    server_entry entry = update;
+    if (const auto known = entries_.find(entry.name); known != entries_.end()) {
+        // A server that leaves does not come back in the same start; a store's copy may not know yet that it
+        // leaves.
+        const bool is_same_start = known->second.started_ms == entry.started_ms;
+        entry.is_leaving = entry.is_leaving || (is_same_start && known->second.is_leaving);
+    }
+    departures_.erase(entry.name);
     const auto pending = pending_removals_.find(entry.name);
     const bool was_pending = pending != pending_removals_.end();
     if (was_pending) {
@@ -178,6 +198,41 @@
     changed_(entry, false);
 }
 
+void registry::put_listed(const server_entry& entry, bool is_restored) {
+    const auto left = departures_.find(entry.name);
+    const bool had_left = left != departures_.end() && left->second.started_ms == entry.started_ms;
+    if (!had_left || (!is_restored && !pending_returns_.contains(entry.name))) {
+        put(entry);
+        return;
+    }
+    if (pending_returns_.contains(entry.name))
+        return;
+    ++counts_.counter("returns_delayed");
+    const duration delay = settings_.entry_lifetime + reregistration_time;
+    pending_returns_[entry.name] = timers_.schedule_after(delay, [this, entry] {
+        pending_returns_.erase(entry.name);
+        put(entry);
+    });
+}
+
+void registry::cancel_return(const std::string& name) {
+    const auto pending = pending_returns_.find(name);
+    if (pending == pending_returns_.end())
+        return;
+    timers_.cancel(pending->second);
+    pending_returns_.erase(pending);
+}
+
+void registry::note_departure(const server_entry& entry) {
+    const time_point now = timers_.now();
+    std::erase_if(departures_, [now](const auto& it) { return it.second.at + departure_retention < now; });
+    if (departures_.size() >= max_departures)
+        departures_.erase(
+            std::min_element(departures_.begin(), departures_.end(),
+                             [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
+    departures_[entry.name] = {entry.started_ms, now};
+}
+
 void registry::remove(const std::string& name) {
     unreadable_.erase(name);
     if (timers_.now() < delay_removals_until_)
@@ -208,6 +263,7 @@
     if (node.empty())
         return;
     note_change(node.mapped(), entry_state::removed);
+    note_departure(node.mapped());
     changed_(node.mapped(), true);
 }
 
--- a/packages/core/upstreams/registry.h
+++ b/packages/core/upstreams/registry.h
@@ -28,6 +28,12 @@
 /** Delay of removals after a store outage: live servers register again within two seconds of its end. */
 constexpr duration reregistration_time = std::chrono::milliseconds{2500};
 
+/** Timing of a registration. */
+struct registry_settings {
+    /** Time without a sign of life after which the store removes a server's entry. */
+    duration entry_lifetime = std::chrono::milliseconds{3600};
+};
+
 /** One entry, as nodes exchange it. */
 struct registry_item {
     server_entry entry;                       ///< the entry; its last content if it was removed
@@ -49,15 +55,20 @@
  * server.
  *
  * Removals received right after a store outage take effect only after a delay: entries expire during the
- * outage, and live servers register again. The same holds for servers that a copy lacks from which the store
- * came back.
+ * outage, and live servers register again.
+ *
+ * If the store comes back from a copy, the copy may hold entries of servers that have left since, and lack
+ * those of new servers. New servers register again, so their removals are delayed. An entry that was removed
+ * before is used again only if its server shows that it lives: it writes the entry, or the entry outlasts the
+ * time after which the store removes one without a sign of life.
  */
 class registry {
 public:
     /** Called for each change: the entry, and whether it was removed. */
     using changed_hook = std::function<void(const server_entry&, bool removed)>;
 
-    registry(timer_queue& timers, event_log& log, metrics& counts, changed_hook changed);
+    registry(timer_queue& timers, event_log& log, metrics& counts, changed_hook changed,
+             registry_settings settings = {});
 
     /** Replaces all entries by a list read from the store, unless its revision is not newer. */
     void replace(const object_list& list);
@@ -83,9 +94,19 @@
         time_point until; ///< when the timer fires
     };
 
+    /** A server that was removed. */
+    struct departure {
+        std::int64_t started_ms; ///< which start of the server
+        time_point at;           ///< when it was removed
+    };
+
     /** Moves to a revision from the store or a peer. @return whether it belongs to a later era */
     bool advance(object_version revision);
-    void put(const server_entry& entry);
+    void put(const server_entry& update);
+    /** Puts an entry of a list, unless its server left and the entry is only part of the store's copy. */
+    void put_listed(const server_entry& entry, bool is_restored);
+    void cancel_return(const std::string& name);
+    void note_departure(const server_entry& entry);
     void remove(const std::string& name);
     void delay_removal(const std::string& name, time_point until);
     void remove_now(const std::string& name);
@@ -100,10 +121,13 @@
     event_log& log_;                                          ///< the event log
     metrics& counts_;                                         ///< the counters
     changed_hook changed_;                                    ///< see changed_hook
+    registry_settings settings_;                              ///< timing
     object_version revision_;                                 ///< see revision()
     object_version changed_at_;                               ///< see changed_at()
     std::map<std::string, server_entry> entries_;             ///< by name
     std::map<std::string, pending_removal> pending_removals_; ///< by name
+    std::map<std::string, departure> departures_;             ///< recently removed servers, by name
+    std::map<std::string, timer_id> pending_returns_;         ///< see put_listed(), by name
     std::map<std::string, object_version> unreadable_; ///< versions of unreadable entries, to log each once
     /** Recent changes, with the revision that brought each. */
     std::deque<std::pair<object_version, registry_item>> changes_;
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -26,6 +26,9 @@
 /** Delay after changes before the next watch of routes, whose changes must be in force within seconds. */
 constexpr duration routes_min_interval = std::chrono::milliseconds{300};
 
+/** Heartbeats without a sign of life after which the platform removes a server's entry. */
+constexpr int heartbeats_in_lifetime = 3;
+
 /** Content type of the Prometheus text format. */
 constexpr std::string_view metrics_type = "text/plain; version=0.0.4";
 
@@ -66,7 +69,8 @@
       servers_{
           clock_.timers(), log_, counts_, random_, settings_.domain, upstream_network::hooks_of(network_)},
       registry_{clock_.timers(), log_, counts_,
-                [this](const server_entry& entry, bool removed) { frontend_->on_server(entry, removed); }},
+                [this](const server_entry& entry, bool removed) { frontend_->on_server(entry, removed); },
+                registry_settings{settings_.server_heartbeat * heartbeats_in_lifetime}},
       store_{[this](const config_entry& entry) { return apply(entry); }}, frontend_{make_frontend()},
       cluster_{settings_,
                clock_,
--- a/tests/core/cluster/restored_registry_test.cpp
+++ b/tests/core/cluster/restored_registry_test.cpp
@@ -95,4 +95,49 @@
     }
 }
 
+TEST_CASE("a server that left does not come back with the store's copy") {
+    restored_fixture it;
+    it.list(40, 1, {entry_in("a", 30, 1), entry_in("left", 31, 1)});
+    it.change(45, 1, entry_in("left", 45, 1), true);
+    it.list(42, 2, {entry_in("a", 30, 2), entry_in("left", 31, 2)});
+    CHECK(it.in_use == names{"a"});
+    // The store removes the entry, because its server gives no sign of life.
+    it.pass(registry_settings{}.entry_lifetime);
+    it.change(43, 2, entry_in("left", 43, 2), true);
+    it.pass(registry_settings{}.entry_lifetime * 2);
+    CHECK(it.in_use == names{"a"});
+}
+
+TEST_CASE("a removed server that lives is used again after the store came back from a copy") {
+    restored_fixture it;
+    it.list(40, 1, {entry_in("writes", 30, 1), entry_in("stays", 31, 1)});
+    it.change(45, 1, entry_in("writes", 44, 1), true);
+    it.change(46, 1, entry_in("stays", 45, 1), true);
+    it.list(42, 2, {entry_in("writes", 30, 2), entry_in("stays", 31, 2)});
+    CHECK(it.in_use.empty());
+    it.change(43, 2, entry_in("writes", 43, 2), false);
+    CHECK(it.in_use == names{"writes"});
+    it.pass(registry_settings{}.entry_lifetime + reregistration_time);
+    CHECK(it.in_use == names{"writes", "stays"});
+}
+
+TEST_CASE("a peer that knows only the store's copy does not bring back a server that left") {
+    restored_fixture it;
+    restored_fixture starting;
+    it.list(40, 1, {entry_in("a", 30, 1), entry_in("left", 31, 1)});
+    it.change(45, 1, entry_in("left", 45, 1), true);
+    starting.list(42, 2, {entry_in("a", 30, 2), entry_in("left", 31, 2)});
+    CHECK(it.servers.take(starting.servers.update_after(it.servers.revision())));
+    CHECK(it.in_use == names{"a"});
+}
+
+TEST_CASE("a server that leaves is not ready again because the store's copy does not know it") {
+    restored_fixture it;
+    server_entry leaving = entry_in("a", 44, 1);
+    leaving.is_leaving = true;
+    it.list(45, 1, {leaving});
+    it.list(42, 2, {entry_in("a", 40, 2)});
+    CHECK(it.servers.entries().at("a").is_leaving);
+}
+
 } // namespace pollengrade
