--- a/models/config.pml
+++ b/models/config.pml
@@ -5,12 +5,17 @@
  * Two operators write one document; each write is conditional on the version that the operator has read. Each of
  * three nodes may watch the platform (a relay), push to another, pull from another, lose messages, and restart, with
  * the platform up or down. A restarted node serves only once it has read the platform, or a peer that is itself
- * complete.
+ * complete. The platform may come back once from a copy that holds the first version: its revisions are given out
+ * again, and what was lost is written again. Nodes order versions by the writers' own numbers.
  */
 #define NODES 3
 #define WRITES 2
 
 byte platform = 1;            /* version of the document; each version has its own text */
+byte newest = 1;              /* highest version ever accepted */
+byte revision = 1;            /* the platform's revision, lower after a restore */
+byte holds_revision[NODES] = 1; /* revision at which each node took its version */
+byte restores = 0;
 bool down = false;            /* whether the platform answers */
 byte holds[NODES] = 1;        /* version held by each node */
 bool serves[NODES] = true;    /* whether the node takes requests */
@@ -27,9 +32,9 @@
         !down ->
         if
 #ifdef BROKEN_BLIND_WRITE
-        :: true -> platform = read + 1; won++
+        :: true -> platform = read + 1; newest = platform; revision++; won++
 #else
-        :: platform == read -> platform = read + 1; won++
+        :: platform == read -> newest++; platform = newest; revision++; won++
         :: platform != read -> lost_races++
 #endif
         fi
@@ -40,6 +45,9 @@
     if
 #ifdef BROKEN_NO_VERSION_GUARD
     :: true -> holds[node] = version
+#elif defined(BROKEN_ORDER_BY_REVISION)
+    :: revision > holds_revision[node] -> holds[node] = version; holds_revision[node] = revision
+    :: revision <= holds_revision[node] -> skip
 #else
     :: version > holds[node] -> holds[node] = version
     :: version <= holds[node] -> skip
@@ -61,6 +69,10 @@
 active proctype platform_outage() {
     if
     :: down = true; down = false
+    :: atomic { down = true; restores++; platform = 1; revision = 1 }
+       down = false;
+       /* What the operators wrote is written again. */
+       atomic { platform = newest; revision++ }
     :: skip
     fi
 }
@@ -73,15 +85,21 @@
     :: atomic {
         if
         :: version = 1
-        :: platform >= 2 -> version = 2
-        :: platform >= 3 -> version = 3
+        :: newest >= 2 -> version = 2
+        :: newest >= 3 -> version = 3
         fi;
         offer(me, version);
         version = 0;
         serve(me)
        }
     /* A relay reads the platform, by a list or a watch. */
-    :: atomic { !down && holds[me] < platform -> offer(me, platform); serves[me] = true; serve(me) }
+    :: atomic {
+        !down && holds[me] < platform ->
+        offer(me, platform);
+        assert(holds[me] >= platform);
+        serves[me] = true;
+        serve(me)
+       }
     /* Anti-entropy pull from a peer. */
     :: atomic {
         if
@@ -102,6 +120,7 @@
         restarts < 3 ->
         restarts++;
         holds[me] = 0;
+        holds_revision[me] = 0;
 #ifdef BROKEN_SERVE_AT_ONCE
         serves[me] = true;
         serve(me);
@@ -118,5 +137,5 @@
     atomic { run node(0); run node(1); run node(2); run operator(); run operator() }
     /* Both operators have ended: the document is that of the last winner, and each loser got a conflict. */
     (won + lost_races == WRITES);
-    assert(platform == 1 + won);
+    assert(newest == 1 + won);
 }
