--- a/tests/core/queries/order_run_test.cpp
+++ b/tests/core/queries/order_run_test.cpp
@@ -57,6 +57,20 @@
     CHECK(node.answers()[1].rows == node.answers()[0].rows);
 }
 
+TEST_CASE("an order whose claim was lost with a restore of the store is not sent again") {
+    order_fixture it{always_answered};
+    auto& [timers, store, node] = it;
+    node.order(fresh_key, 3, long_deadline);
+    advance_clock(timers, std::chrono::milliseconds{10});
+    REQUIRE(node.open_requests().size() == 1);
+    node.reply(node.open_requests().front());
+    advance_clock(timers, std::chrono::milliseconds{10});
+    store.restore_empty_copy();
+    node.order(fresh_key, 3, long_deadline);
+    advance_clock(timers, std::chrono::milliseconds{10});
+    CHECK(node.open_requests().empty());
+}
+
 TEST_CASE("an order whose claim cannot be written is refused with the scope attempt") {
     order_fixture it{[] { return call_outcome::refused; }};
     auto& [timers, store, node] = it;
--- a/tests/support/fake_claim_store.h
+++ b/tests/support/fake_claim_store.h
@@ -32,6 +32,12 @@
     /** @return all stored claims. */
     [[nodiscard]] const std::map<claim_name, stored_claim>& claims() const noexcept { return claims_; }
 
+    /** Comes back from a copy that is older than all claims; revisions start again. */
+    void restore_empty_copy() {
+        claims_.clear();
+        revision_ = 0;
+    }
+
 private:
     store_result apply_write(const claim_name& name, const claim& value, object_version expected);
     void finish(store_result result, const store_done& done, duration delay);
