Cleanup: members of a departure have initial values

Cause: the linter asks for it (cppcoreguidelines-pro-type-member-init). Change: initial values, same behaviour. Figures: the linter reported this and nothing else. Conclusion: clean.

--- a/packages/core/upstreams/registry.h
+++ b/packages/core/upstreams/registry.h
@@ -96,8 +96,8 @@
 
     /** A server that was removed. */
     struct departure {
-        std::int64_t started_ms; ///< which start of the server
-        time_point at;           ///< when it was removed
+        std::int64_t started_ms = 0; ///< which start of the server
+        time_point at{};             ///< when it was removed
     };
 
     /** Moves to a revision from the store or a peer. @return whether it belongs to a later era */
