--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p build
-for source in [1-5]/case.cc; do
+for source in [1-5]/case.cc entry/case.cc; do
     [ -e "$source" ] || continue
     g++ -std=c++20 -O1 -pthread -Wall -Wextra -o "build/case-$(dirname "$source")" "$source"
 done
--- a/review/stand/stand.hh
+++ b/review/stand/stand.hh
@@ -246,6 +246,35 @@
         if (silent)
             ++epoch_[machine]; // A connection on which a response is lost returns nothing further.
     }
+    /** From now on answers state an era. Then the store can be away, and come back from a copy. */
+    void count_eras() { era_ = 1; }
+    /** Takes a copy of all objects. */
+    void copy() {
+        const std::lock_guard lock{mutex_};
+        copy_ = objects_;
+        copied_at_ = revision_;
+    }
+    /** The store is away: connections end without an answer. */
+    void go_away() {
+        const std::lock_guard lock{mutex_};
+        away_ = true;
+        changed_.notify_all();
+    }
+    /** The store comes back from the copy: what was written since is gone, and revisions go back. */
+    void come_back() {
+        const std::lock_guard lock{mutex_};
+        objects_ = copy_;
+        revision_ = copied_at_;
+        history_.clear();
+        oldest_watch_ = revision_;
+        ++era_;
+        away_ = false;
+    }
+    /** @return the number of objects of a kind. */
+    std::size_t count(const std::string& kind) {
+        const std::lock_guard lock{mutex_};
+        return objects_[kind].size();
+    }
     /** @return the machines that have a watch of a kind open. */
     std::vector<int> watchers(const std::string& kind) {
         const std::lock_guard lock{mutex_};
@@ -307,6 +336,44 @@
         any = !text.empty();
         return "{\"events\":[" + text + "],\"store-revision\":" + std::to_string(revision_) + "}";
     }
+    /** @return the name after the kind in a path; empty if there is none. */
+    static std::string name_in(const std::string& target, const std::string& path) {
+        return target.starts_with(path + "/") ? target.substr(path.size() + 1) : "";
+    }
+    /** Creates or replaces an object as a node asks. */
+    std::string write(const std::string& kind, std::string name, const message& in, std::string& status) {
+        const auto value_of = [&](const std::string& key) {
+            const auto at = in.body.find("\"" + key + "\":");
+            return at == std::string::npos ? std::string{} : in.body.substr(at + key.size() + 3);
+        };
+        const bool is_new = name.empty();
+        if (is_new) {
+            const std::string text = value_of("name");
+            name = text.substr(1, text.find('"', 1) - 1);
+        }
+        const auto known = objects_[kind].find(name);
+        const bool exists = known != objects_[kind].end();
+        const std::string expected = value_of("revision");
+        if (!is_new && !exists) {
+            status = "404 Not Found";
+            return "{}";
+        }
+        if (exists && (is_new || (!expected.empty() && std::stoull(expected) != known->second.revision))) {
+            status = "409 Conflict";
+            return text_of(name, known->second);
+        }
+        std::string spec = value_of("spec");
+        spec.pop_back(); // The brace that ends the whole body.
+        object& it = objects_[kind][name];
+        it.revision = ++revision_;
+        if (it.created == 0)
+            it.created = revision_;
+        it.spec = spec;
+        history_.push_back({revision_, kind, "{\"deleted\":false,\"object\":" + text_of(name, it) + "}"});
+        changed_.notify_all();
+        status = is_new ? "201 Created" : "200 OK";
+        return text_of(name, it);
+    }
     void serve(int fd, int machine = -1) {
         std::string buf;
         message in;
@@ -319,14 +386,31 @@
             std::string kind = target.substr(std::min(target.size(), prefix.size()));
             kind = kind.substr(0, kind.find_first_of("?/"));
             std::string body;
+            std::string status = "200 OK";
             std::unique_lock lock{mutex_};
-            if (target.find("watch=") != std::string::npos) {
+            const std::string named = name_in(target, prefix + kind);
+            if (away_) {
+                break;
+            } else if (in.word(0) == "POST" || in.word(0) == "PUT") {
+                body = write(kind, named, in, status);
+            } else if (!named.empty()) {
+                const bool exists = objects_[kind].contains(named);
+                status = exists ? "200 OK" : "404 Not Found";
+                body = exists ? text_of(named, objects_[kind][named]) : "{}";
+            } else if (target.find("watch=") != std::string::npos &&
+                       (number(target, "watch") > revision_ || number(target, "watch") < oldest_watch_)) {
+                status = "410 Gone";
+                body = "{}";
+            } else if (target.find("watch=") != std::string::npos) {
                 const auto until = clock::now() + milliseconds{number(target, "wait-ms")};
                 bool any = false;
                 ++watching_[{machine, kind}];
-                while (body = changes(kind, number(target, "watch"), any), !any && clock::now() < until)
+                while (body = changes(kind, number(target, "watch"), any),
+                       !any && !away_ && clock::now() < until)
                     changed_.wait_until(lock, until);
                 --watching_[{machine, kind}];
+                if (away_)
+                    break;
             } else {
                 std::string items;
                 for (const auto& [name, it] : objects_[kind])
@@ -342,7 +426,8 @@
                 ::poll(&gone, 1, 60000);
                 break;
             }
-            if (!write_all(fd, reply_text("200 OK", "Content-Type: application/json\r\n", body)))
+            const std::string era = era_ == 0 ? "" : "Store-Era: " + std::to_string(era_) + "\r\n";
+            if (!write_all(fd, reply_text(status, "Content-Type: application/json\r\n" + era, body)))
                 break;
             if (strcasecmp(in.field("Connection").c_str(), "close") == 0)
                 break;
@@ -355,6 +440,11 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::uint64_t revision_ = 100;
+    std::uint64_t era_ = 0;          ///< see count_eras()
+    bool away_ = false;              ///< see go_away()
+    std::uint64_t copied_at_ = 0;    ///< the revision of the copy
+    std::uint64_t oldest_watch_ = 0; ///< history before it is gone
+    std::map<std::string, std::map<std::string, object>> copy_;
     std::map<int, bool> silent_;                          ///< machines that get no answers
     std::map<int, int> epoch_;                            ///< of each machine: how often it was cut off
     std::map<std::pair<int, std::string>, int> watching_; ///< open watches, by machine and kind
@@ -512,6 +602,9 @@
     pid_t pid(int n) const { return pids_.at(n); }
     const std::string& zone(int n) const { return zones_.at(static_cast<std::size_t>(n) % zones_.size()); }
 
+    /** Uses settings of one's own in place of the role's template. @param text with {{ip}} and {{store}} */
+    void use_settings(std::string text) { own_settings_ = std::move(text); }
+
     void start(int n) {
         const std::string path = work_ + "/settings-" + std::to_string(n) + ".toml";
         std::ofstream{path} << settings(n);
@@ -589,6 +682,8 @@
     std::string settings(int n) const {
         std::ifstream in{root_ + "/platform/node.ini"};
         std::string text{std::istreambuf_iterator<char>{in}, {}};
+        if (!own_settings_.empty())
+            text = own_settings_;
         std::string seeds;
         for (std::size_t k = 0; k < std::min<std::size_t>(3, ips_.size()); ++k)
             seeds += (k == 0 ? "" : ",") + ips_[k] + ":8224";
@@ -618,6 +713,7 @@
     std::string work_;
     std::vector<std::string> stores_;
     std::vector<std::string> zones_;
+    std::string own_settings_;
     std::vector<std::string> ips_;
     std::map<int, pid_t> pids_;
 };
