Fix: a SIGHUP while a node starts does not end it

What was seen: a SIGHUP in the first milliseconds of a process ended it by the signal, as its handlers were installed only after the listeners had been opened. Cause: the kernel's default action holds until g_unix_signal_add(); the settings are read before. Change: SIGHUP is ignored from the first line of main(), and the handlers of all three signals are installed before the node opens its listeners. The settings are read after that line, so nothing is missed. SIGTERM in that time ends a process that has served nothing, by the signal, as before. No test of its own: the time before main() cannot be told apart from outside.

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,4 +1,5 @@
 /** @file main.cpp Command line and main loop of the daemon. */
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -50,13 +51,13 @@
     }
 
     int run() {
+        g_unix_signal_add(SIGTERM, &program::on_termination, this);
+        g_unix_signal_add(SIGINT, &program::on_termination, this);
+        g_unix_signal_add(SIGHUP, &program::on_hangup, this);
         if (!daemon_.start()) {
             log_line(subsystem::node, log_level::error, "failed to listen on an address given in " + path_);
             return exit_listen;
         }
-        g_unix_signal_add(SIGTERM, &program::on_termination, this);
-        g_unix_signal_add(SIGINT, &program::on_termination, this);
-        g_unix_signal_add(SIGHUP, &program::on_hangup, this);
         watch_settings();
         g_main_loop_run(loop_.get());
         return EXIT_SUCCESS;
@@ -147,5 +148,8 @@
 } // namespace pollengrade
 
 int main(int argc, char** argv) {
+    // The settings are read later: until then a SIGHUP has nothing to do, but would end the process.
+    if (std::signal(SIGHUP, SIG_IGN) == SIG_ERR)
+        return EXIT_FAILURE;
     return pollengrade::run_program("pollengraded", [&] { return pollengrade::run(argc, argv); });
 }
