Fix: nodes notice that the store is silent to the nodes that watch it for them

Cause: where only holders watch the store, nobody can tell a quiet store from a watcher that the store does not answer. The watcher's one call waits up to 28 s; the others never ask the store after their first list. Ruled out: lost pushes or pulls between nodes (there was nothing newer to pass on).

Change: store_freshness. Confirmations of the store with their age, spread with the gossip there is; one watcher checks at an interval and the next ones in its place; a node without a confirmation for half of apply_ms (new setting, 3 s) checks the store itself, drawn such that all nodes together check ten times a second, and watches it for ten seconds if it answers. A check that a watcher isn't answered, and one that finds changes, ends the watch that waits. Routes are announced to other nodes as changes of servers were. Why it works: a confirmation counts only for a node that holds all that its sender holds, and from the time when the sender was asked, so its age is never understated; past the bound each node acts by itself, whatever the watchers do.

--- a/packages/core/base/event_log.h
+++ b/packages/core/base/event_log.h
@@ -56,6 +56,8 @@
     routes_rejected,
     registry_replaced,
     entries_unreadable,
+    store_confirmation_old, ///< no store watcher's confirmation came in time; this node checks the store
+    store_watch_taken_over, ///< this node watches the store in place of the store watchers
     platform_unreachable,
     platform_reachable,
     platform_restored,
--- a/packages/core/cluster/member_type.h
+++ b/packages/core/cluster/member_type.h
@@ -4,12 +4,14 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
 #include <vector>
 
 #include "core/base/id_type.h"
+#include "core/base/time_type.h"
 
 namespace pollengrade {
 
@@ -61,6 +63,8 @@
     std::uint64_t config_digest = 0; ///< digest of the sender's configuration
     bool config_complete = false;    ///< whether the sender holds the complete configuration
     object_version registry_changed; ///< the latest change of a server's entry that the sender knows
+    /** Age of the store's newest confirmation of what the sender knows; nullopt if it has none. */
+    std::optional<duration> confirmation_age;
 };
 
 } // namespace pollengrade
--- a/packages/core/cluster/membership.cpp
+++ b/packages/core/cluster/membership.cpp
@@ -174,10 +174,11 @@
 }
 
 void membership::send_gossip(const node_address& target) {
-    hooks_.probe(target, make_gossip(target), [this](const std::optional<gossip_message>& reply) {
-        if (reply)
-            process_gossip(*reply);
-    });
+    hooks_.probe(target, make_gossip(target),
+                 [this, asked_at = timers_.now()](const std::optional<gossip_message>& reply) {
+                     if (reply)
+                         process_gossip(*reply, asked_at);
+                 });
 }
 
 std::vector<node_address> membership::random_peers(std::size_t count) const {
@@ -276,16 +277,16 @@
     return it;
 }
 
-void membership::process_gossip(const gossip_message& from) {
+void membership::process_gossip(const gossip_message& from, std::optional<time_point> asked_at) {
     last_contact_ = timers_.now();
     apply_update(from.sender);
     for (const member& it : from.updates)
         apply_update(it);
-    hooks_.gossip_received(from);
+    hooks_.gossip_received(from, asked_at);
 }
 
 gossip_message membership::on_probe(const gossip_message& from) {
-    process_gossip(from);
+    process_gossip(from, std::nullopt);
     return make_gossip(from.sender.address);
 }
 
@@ -321,12 +322,13 @@
 
 void membership::probe(const node_address& target) {
     ++counts_.counter("probes_sent");
-    hooks_.probe(target, make_gossip(target), [this, target](const std::optional<gossip_message>& reply) {
-        if (reply)
-            process_gossip(*reply);
-        else
-            probe_indirectly(target);
-    });
+    hooks_.probe(target, make_gossip(target),
+                 [this, target, asked_at = timers_.now()](const std::optional<gossip_message>& reply) {
+                     if (reply)
+                         process_gossip(*reply, asked_at);
+                     else
+                         probe_indirectly(target);
+                 });
 }
 
 void membership::probe_indirectly(const node_address& target) {
--- a/packages/core/cluster/membership.h
+++ b/packages/core/cluster/membership.h
@@ -28,8 +28,9 @@
     std::function<void(const node_address&, const node_address&, reach_done)> probe_through;
     /** Reads the members that a node knows, except those whose fingerprints are given. */
     std::function<void(const node_address&, const std::vector<std::uint64_t>&, list_done)> list;
-    std::function<void(gossip_message&)> add_config;            ///< fills in the configuration fields
-    std::function<void(const gossip_message&)> gossip_received; ///< called for every gossip message received
+    std::function<void(gossip_message&)> add_config; ///< fills in the configuration fields
+    /** Called for every gossip message received; for a reply, with the time when it was asked for. */
+    std::function<void(const gossip_message&, std::optional<time_point> asked_at)> gossip_received;
     std::function<void()> changed; ///< called when the set of live nodes may have changed
 };
 
@@ -115,7 +116,7 @@
     void probe_indirectly(const node_address& target);
     void suspect(const node_address& target);
     void declare_dead(const node_address& target, member_incarnation incarnation);
-    void process_gossip(const gossip_message& from);
+    void process_gossip(const gossip_message& from, std::optional<time_point> asked_at);
     [[nodiscard]] gossip_message make_gossip(const node_address& to);
     void queue_update(const member& update);
     [[nodiscard]] std::uint32_t transmit_count() const;
--- a/packages/core/cluster/object_watcher.h
+++ b/packages/core/cluster/object_watcher.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include <tl/expected.hpp>
 
@@ -26,6 +27,7 @@
     std::function<void(const object_changes&)> changed; ///< called with changes
     std::function<void(bool reached)> reached; ///< reports after each call whether the store answered
     std::function<bool()> is_store_watcher;    ///< whether this node watches the store
+    std::function<void()> confirmed;           ///< called when confirmed_at() has advanced
 };
 
 /**
@@ -51,6 +53,14 @@
     void start();
     /** Checks again whether this node is a store watcher, and starts a watch or list if one is due. */
     void on_store_watcher_changed();
+    /**
+     * Asks the store at once whether the known objects are current, also while a watch waits: a watch that
+     * the store has lost or that nobody answers looks like a quiet one. A store watcher takes a check that
+     * isn't answered as a failed call.
+     */
+    void check();
+    /** @return when the store was asked that confirmed last that the known objects are current. */
+    [[nodiscard]] time_point confirmed_at() const noexcept { return confirmed_at_; }
     /** @return whether all objects have been listed once. */
     [[nodiscard]] bool is_listed() const noexcept { return listed_; }
     /** @return when the store last answered; never decreases. */
@@ -59,10 +69,21 @@
 private:
     void start_next_call();
     void list();
+    void replace(const object_list& list);
+    /** Lists the objects while watches fail. */
+    void list_besides();
     void watch();
     /** @return the wait of the next watch: random if other nodes start theirs now too, else the normal wait.
      */
     [[nodiscard]] duration next_wait();
+    void on_watched(bool is_liveness_check, const tl::expected<object_changes, store_error>& result);
+    void on_checked(const tl::expected<object_changes, store_error>& result);
+    /** @return whether a result shows that changes were missed, so that only a list shows the objects. */
+    [[nodiscard]] bool is_other_history(const tl::expected<object_changes, store_error>& result) const;
+    void take(const object_changes& changes);
+    void note_confirmed(time_point asked_at);
+    /** Ignores the result of the call in progress, if there is one. */
+    void drop_call();
     void retry();
     void start_next_call_after(duration span);
 
@@ -77,6 +98,10 @@
     bool synchronized_ = true;              ///< whether the last result probably reached all nodes at once
     std::uint32_t failures_ = 0;            ///< consecutive failed calls
     time_point last_answer_{};              ///< see last_answer()
+    time_point confirmed_at_{};             ///< see confirmed_at()
+    bool checking_ = false;                 ///< whether a check is in progress
+    std::uint64_t call_ = 0;        ///< number of the latest call; results of earlier ones are ignored
+    std::optional<timer_id> delay_; ///< the delay before the next call
 };
 
 } // namespace pollengrade
--- a/packages/core/config/node_settings.cpp
+++ b/packages/core/config/node_settings.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<key_rule, 19> rules{{
+constexpr std::array<key_rule, 20> rules{{
     {"node", "name", setting_type::text, 1, 63, "", true, "", "",
      "Name of the node in logs and in the event log."},
     {"node", "interface", setting_type::choice, 0, 0, "documents", false, "documents|routes", "",
@@ -39,6 +39,9 @@
     {"platform", "heartbeat_ms", setting_type::decimal, 10, 600000, "1200", false, "", "ms",
      "Interval at which servers renew their entries; the platform removes an entry after three without a "
      "sign of life."},
+    {"platform", "apply_ms", setting_type::decimal, 500, 60000, "3000", false, "", "ms",
+     "Time within which a change in the platform's store must be in force on every node; a node that has no "
+     "confirmation for half of it asks the store itself."},
     {"cluster", "seeds", setting_type::text, 0, 4096, "", false, "", "",
      "Comma-separated list of other nodes' IPv4:port to contact first."},
     {"cluster", "peer_port", setting_type::number, 0, 65535, "0", false, "", "",
@@ -110,6 +113,7 @@
     it.debug = ini->text("node", "debug");
     it.platform = address("platform", "address");
     it.server_heartbeat = milliseconds_of(*ini, "platform", "heartbeat_ms");
+    it.apply_limit = milliseconds_of(*ini, "platform", "apply_ms");
     it.interface =
         ini->text("node", "interface") == "routes" ? interface_kind::routes : interface_kind::documents;
     if (it.interface == interface_kind::routes)
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -21,6 +21,9 @@
  * pull.
  */
 constexpr std::size_t divided_push_fanout = 2;
+constexpr std::size_t asked_watchers = 2; ///< store watchers that a node asks in turn for their confirmation
+/** Nodes that a node notifies when it watches the store in place of the store watchers. */
+constexpr std::size_t max_announced_for_others = 64;
 /** Delay that collects changes of servers, which come in bursts. */
 constexpr duration announce_delay = std::chrono::milliseconds{300};
 /** Minimum interval between reports of live nodes; many nodes often join or leave at the same time. */
@@ -70,8 +73,9 @@
       config_gossip_{clock.timers(), store, counts,
                      settings.interface == interface_kind::documents ? document_push_fanout : 0,
                      make_gossip_hooks()},
-      registry_{clock.timers(), counts, servers, make_registry_hooks()}, server_{clock, log,
-                                                                                 make_peer_hooks()},
+      registry_{clock.timers(), counts, servers, make_registry_hooks()},
+      freshness_{clock.timers(), log, counts, random, settings.apply_limit, make_freshness_hooks()},
+      server_{clock, log, make_peer_hooks()},
       live_update_{clock.timers(), live_min_interval,
                    [this] { hooks_.live_changed(membership_.live_members()); }},
       address_{settings.peers}, is_routed_{settings.interface == interface_kind::routes} {}
@@ -90,15 +94,74 @@
         message.config_digest = store_.digest();
         message.config_complete = config_gossip_.is_complete();
         message.registry_changed = servers_.changed_at();
+        message.confirmation_age = freshness_.age();
     };
-    it.gossip_received = [this](const gossip_message& from) {
-        config_gossip_.on_gossip(from);
-        registry_.on_gossip(from);
+    it.gossip_received = [this](const gossip_message& from, std::optional<time_point> asked_at) {
+        on_gossip(from, asked_at);
     };
     it.changed = [this] { live_update_.trigger(); };
     return it;
 }
 
+void cluster::on_gossip(const gossip_message& from, std::optional<time_point> asked_at) {
+    config_gossip_.on_gossip(from);
+    registry_.on_gossip(from);
+    // Only of a reply is it known how long it was on its way.
+    const bool holds_all =
+        from.config_digest == store_.digest() && from.registry_changed <= servers_.revision();
+    if (!from.confirmation_age)
+        return;
+    if (!asked_at)
+        freshness_.on_peer_probe(from.sender.address, *from.confirmation_age);
+    else if (holds_all)
+        freshness_.on_peer_answer(*asked_at, *from.confirmation_age);
+}
+
+freshness_hooks cluster::make_freshness_hooks() {
+    freshness_hooks it;
+    it.watcher_rank = [this] { return is_routed_ ? watcher_rank() : relay_rank(); };
+    it.node_count = [this] { return membership_.live().size(); };
+    it.ask_watcher = [this](std::uint32_t asked_before) { ask_watcher(asked_before); };
+    it.ask = [this](const node_address& node) { membership_.send_gossip(node); };
+    it.tell_watchers = [this] {
+        for (const node_address& watcher : is_routed_ ? store_watchers_ : relays())
+            membership_.send_gossip(watcher);
+    };
+    it.check_store = [this] { hooks_.check_store(); };
+    it.became_acting = [this] { hooks_.watchers_changed(); };
+    return it;
+}
+
+std::optional<std::size_t> cluster::watcher_rank() const {
+    const auto it = std::find(store_watchers_.begin(), store_watchers_.end(), address_);
+    if (it == store_watchers_.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(it - store_watchers_.begin());
+}
+
+void cluster::ask_watcher(std::uint32_t asked_before) {
+    std::vector<node_address> watchers = is_routed_ ? store_watchers_ : relays();
+    const bool is_watcher = std::erase(watchers, address_) > 0;
+    if (watchers.empty())
+        return;
+    // Watchers ask the first ones of them; the other nodes spread over all, those of their domain first.
+    std::vector<node_address> order;
+    if (is_watcher) {
+        order.assign(watchers.begin(), watchers.begin() + static_cast<std::ptrdiff_t>(
+                                                              std::min(watchers.size(), asked_watchers)));
+    } else {
+        const std::string role = "ask " + address_.value();
+        std::vector<node_address> local = watchers;
+        std::erase_if(local, [this](const node_address& it) {
+            return membership_.domain_of(it) != membership_.self().domain;
+        });
+        order = pick_by_rendezvous(role, local, 1);
+        for (const node_address& it : pick_by_rendezvous(role, watchers, asked_watchers))
+            order.push_back(it);
+    }
+    membership_.send_gossip(order[asked_before % order.size()]);
+}
+
 config_gossip_hooks cluster::make_gossip_hooks() {
     config_gossip_hooks it;
     it.random_peers = [this](std::size_t count) { return membership_.random_peers(count); };
@@ -168,6 +231,8 @@
         return started;
     membership_.start();
     pull_config_until_current();
+    if (!is_routed_)
+        freshness_.set_needed(true);
     return {};
 }
 
@@ -193,24 +258,33 @@
                                  std::vector<node_address> store_watchers) {
     divided_ = divided;
     is_store_watcher_ = is_store_watcher;
-    store_watchers_ = std::move(store_watchers);
+    store_watchers_ = pick_by_rendezvous("watch the store", store_watchers, store_watchers.size());
     registry_.set_watching_store(is_store_watcher);
     if (is_routed_)
         config_gossip_.set_push_fanout(divided ? divided_push_fanout : 0);
     config_gossip_.set_local_first(divided);
+    if (is_routed_)
+        freshness_.set_needed(divided);
 }
 
 void cluster::announce() {
-    if (!divided_ || !is_store_watcher_ || std::exchange(announcement_scheduled_, true))
+    const bool is_watcher = is_store_watcher_ || freshness_.is_acting();
+    if (!divided_ || !is_watcher || std::exchange(announcement_scheduled_, true))
         return;
     clock_.timers().schedule_after(announce_delay, [this] {
         announcement_scheduled_ = false;
-        for (const node_address& it :
-             nodes_to_notify(membership_.self(), store_watcher_members(), membership_.live_members()))
+        for (const node_address& it : nodes_to_announce_to())
             membership_.send_gossip(it);
     });
 }
 
+std::vector<node_address> cluster::nodes_to_announce_to() const {
+    // The store watchers that this node replaces notify nobody.
+    if (!is_store_watcher_)
+        return membership_.random_peers(max_announced_for_others);
+    return nodes_to_notify(membership_.self(), store_watcher_members(), membership_.live_members());
+}
+
 std::vector<member> cluster::store_watcher_members() const {
     std::vector<member> list;
     for (const member& it : membership_.live_members()) {
@@ -220,11 +294,17 @@
     return list;
 }
 
-bool cluster::is_relay() const {
-    const auto& self = membership_.self();
-    const auto candidates = membership_.live(self.domain);
-    const auto relays = pick_by_rendezvous("relay " + self.domain.value(), candidates, relays_per_domain);
-    return std::find(relays.begin(), relays.end(), self.address) != relays.end();
+std::vector<node_address> cluster::relays() const {
+    const failure_domain& domain = membership_.self().domain;
+    return pick_by_rendezvous("relay " + domain.value(), membership_.live(domain), relays_per_domain);
+}
+
+std::optional<std::size_t> cluster::relay_rank() const {
+    const std::vector<node_address> list = relays();
+    const auto it = std::find(list.begin(), list.end(), address_);
+    if (it == list.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(it - list.begin());
 }
 
 } // namespace pollengrade
--- a/packages/daemon/cluster.h
+++ b/packages/daemon/cluster.h
@@ -14,6 +14,7 @@
 #include "core/cluster/config_gossip.h"
 #include "core/cluster/membership.h"
 #include "core/cluster/registry_sync.h"
+#include "core/cluster/store_freshness.h"
 #include "core/config/config_store.h"
 #include "core/config/node_settings.h"
 #include "core/queries/delegation.h"
@@ -32,6 +33,8 @@
     /** Runs a query for another node; see peer_hooks. */
     std::function<run_id(const delegated_request&, std::function<void(delegated_answer)>)> run_query;
     std::function<void(run_id)> cancel_query; ///< cancels a query; see peer_hooks
+    std::function<void()> check_store;        ///< checks at the store that what nodes pass on is current
+    std::function<void()> watchers_changed;   ///< called when this node begins to watch the store for others
 };
 
 /** Connects this node to the other nodes of the cluster. */
@@ -64,7 +67,14 @@
      * @param store_watchers the nodes that watch the store; empty if all nodes do
      */
     void set_store_watchers(bool divided, bool is_store_watcher, std::vector<node_address> store_watchers);
-    /** Notifies other nodes after a short delay that the registry has changed, if they rely on this node. */
+    /** Records that the store confirmed all that nodes pass on to each other. */
+    void on_store_confirmed(time_point asked_at) { freshness_.on_store_answer(asked_at); }
+    /** @return the age of the store's newest confirmation, from this node or another one. */
+    [[nodiscard]] std::optional<duration> confirmation_age() const { return freshness_.age(); }
+    /** @return whether this node watches the store in place of the store watchers. */
+    [[nodiscard]] bool watches_for_others() const { return freshness_.is_acting(); }
+    /** Notifies other nodes after a short delay of what has changed in the store, if they rely on this node.
+     */
     void announce();
 
     /** @return the client for calls to other nodes. */
@@ -73,11 +83,18 @@
     [[nodiscard]] const membership& nodes() const noexcept { return membership_; }
     [[nodiscard]] config_gossip& configuration() noexcept { return config_gossip_; }
     /** @return whether this node is a relay: it watches the platform for its failure domain. */
-    [[nodiscard]] bool is_relay() const;
+    [[nodiscard]] bool is_relay() const { return relay_rank().has_value(); }
 
 private:
     void pull_config_until_current();
     [[nodiscard]] std::vector<member> store_watcher_members() const;
+    [[nodiscard]] std::vector<node_address> relays() const;
+    [[nodiscard]] std::optional<std::size_t> relay_rank() const;
+    [[nodiscard]] std::optional<std::size_t> watcher_rank() const;
+    [[nodiscard]] std::vector<node_address> nodes_to_announce_to() const;
+    void ask_watcher(std::uint32_t asked_before);
+    void on_gossip(const gossip_message& from, std::optional<time_point> asked_at);
+    freshness_hooks make_freshness_hooks();
     membership_hooks make_membership_hooks();
     config_gossip_hooks make_gossip_hooks();
     registry_sync_hooks make_registry_hooks();
@@ -94,13 +111,14 @@
     membership membership_;                    ///< the known nodes and their states
     config_gossip config_gossip_;              ///< exchanges configuration with peers
     registry_sync registry_;                   ///< pulls the registry from peers
+    store_freshness freshness_;                ///< when the store last confirmed what this node knows
     peer_server server_;                       ///< serves calls from peers
     throttled_action live_update_;             ///< calls live_changed once for several changes
     node_address address_;                     ///< address of the listener for peers
     bool is_routed_;                           ///< whether the node serves callers by the users' routes
     bool divided_ = false;                     ///< see set_store_watchers()
     bool is_store_watcher_ = true;             ///< see set_store_watchers()
-    std::vector<node_address> store_watchers_; ///< see set_store_watchers()
+    std::vector<node_address> store_watchers_; ///< see set_store_watchers(); the first to check comes first
     bool announcement_scheduled_ = false;      ///< whether announce() has scheduled a notification
     bool store_reached_ = true;                ///< whether the platform's store answers
     bool pull_scheduled_ = false;              ///< whether the next pull is scheduled
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -83,7 +83,12 @@
                 [this](const delegated_request& request, std::function<void(delegated_answer)> respond) {
                     return frontend_->run_query(request, std::move(respond));
                 },
-                [this](run_id id) { frontend_->cancel_query(id); }}},
+                [this](run_id id) { frontend_->cancel_query(id); },
+                [this] {
+                    for (object_watcher* it : shared_)
+                        it->check();
+                },
+                [this] { update_store_watchers(); }}},
       operators_{
           poller_,
           clock_.timers(),
@@ -149,10 +154,14 @@
     // as these are not exchanged between nodes while the store answers.
     const bool is_relayed = settings_.interface == interface_kind::documents && kind != object_kind::servers;
     hooks.is_store_watcher = [this, is_relayed] {
-        return is_relayed ? cluster_.is_relay() : frontend_->is_store_watcher();
+        const bool is_own_duty = is_relayed ? cluster_.is_relay() : frontend_->is_store_watcher();
+        return is_own_duty || cluster_.watches_for_others();
     };
+    hooks.confirmed = [this] { on_store_confirmed(); };
     watchers_.push_back(
         std::make_unique<object_watcher>(clock_.timers(), random_, min_interval, std::move(hooks)));
+    if (is_relayed || settings_.interface == interface_kind::routes)
+        shared_.push_back(watchers_.back().get());
 }
 
 tl::expected<void, listen_error> node::start() {
@@ -202,6 +211,7 @@
             add_config_entry(kind, it.object, entries);
     }
     cluster_.configuration().take(entries);
+    cluster_.announce();
 }
 
 bool node::apply(const config_entry& entry) {
@@ -214,6 +224,13 @@
     cluster_.on_store_reached(reached);
 }
 
+void node::on_store_confirmed() {
+    time_point oldest = time_point::max();
+    for (const object_watcher* it : shared_)
+        oldest = std::min(oldest, it->confirmed_at());
+    cluster_.on_store_confirmed(oldest);
+}
+
 void node::check_complete() {
     const bool all_listed =
         std::all_of(watchers_.begin(), watchers_.end(), [](const auto& it) { return it->is_listed(); });
@@ -267,9 +284,10 @@
         .member("running", std::uint64_t{frontend_->running()});
     out.member("relay", cluster_.is_relay())
         .member("in_touch", cluster_.nodes().is_in_touch())
-        .member("registry_revision", registry_.revision().value())
-        .name("nodes")
-        .begin_array();
+        .member("registry_revision", registry_.revision().value());
+    if (const auto age = cluster_.confirmation_age())
+        out.member("confirmation_age_ms", static_cast<std::uint64_t>(to_milliseconds(*age)));
+    out.name("nodes").begin_array();
     for (const member& it : cluster_.nodes().all()) {
         out.begin_object().member("name", it.name).member("address", it.address.value());
         out.member("operators", it.operators.value()).member("failure_domain", it.domain.value());
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -61,6 +61,7 @@
     void on_objects_changed(object_kind kind, const object_changes& changes);
     void add_config_entry(object_kind kind, const stored_object& object, std::vector<config_entry>& entries);
     void on_store_reached(bool reached);
+    void on_store_confirmed();
     void check_complete();
     void on_configured();
     void end();
@@ -80,6 +81,7 @@
     std::unique_ptr<frontend> frontend_;                    ///< serves callers
     cluster cluster_;                                       ///< connects this node to the other nodes
     std::vector<std::unique_ptr<object_watcher>> watchers_; ///< one for each kind of object
+    std::vector<object_watcher*> shared_;                   ///< of objects that nodes pass on to each other
     operator_server operators_;                             ///< serves metrics, status and event log
     bool leaving_ = false;                                  ///< whether stop() has been called
     std::function<void()> stopped_;                         ///< see stop()
--- a/packages/peer/peer.capnp
+++ b/packages/peer/peer.capnp
@@ -26,6 +26,7 @@
   stampCounter @5 :UInt32;
   registryChanged @6 :UInt64; # registry revision of the latest server entry change known to the sender
   registryEra @7 :UInt64;     # the store's era of that revision; 0 from builds that know no era
+  confirmationAgeMs @8 :UInt32 = 0xffffffff; # age of the store's newest confirmation; the default is for none
 }
 
 # A server's registry entry: core/upstreams/server_entry.h.
--- a/packages/peer/peer.capnp.h
+++ b/packages/peer/peer.capnp.h
@@ -71,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c301247bd356c89f, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c301247bd356c89f, 6, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -562,6 +562,8 @@
 
   inline  ::uint64_t getRegistryEra() const;
 
+  inline  ::uint32_t getConfirmationAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -622,6 +624,9 @@
   inline  ::uint64_t getRegistryEra();
   inline void setRegistryEra( ::uint64_t value);
 
+  inline  ::uint32_t getConfirmationAgeMs();
+  inline void setConfirmationAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2869,6 +2874,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Greeting::Reader::getConfirmationAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t Greeting::Builder::getConfirmationAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void Greeting::Builder::setConfirmationAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
 inline bool ServerEntry::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/peer/peer_codec.cpp
+++ b/packages/peer/peer_codec.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::size_t max_name_bytes = 63;                         ///< same limit as in the settings
+constexpr std::uint32_t no_confirmation = 0xffff'ffff;             ///< the schema's default
 constexpr std::size_t max_object_bytes = std::size_t{1024} * 1024; ///< same limit as in the platform
 
 std::string to_string_copy(capnp::Text::Reader it) {
@@ -59,6 +60,9 @@
     out.setStampCounter(stamp.counter);
     out.setRegistryChanged(it.registry_changed.value());
     out.setRegistryEra(it.registry_changed.era());
+    if (it.confirmation_age)
+        out.setConfirmationAgeMs(static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(to_milliseconds(*it.confirmation_age) + 1, 0, no_confirmation - 1)));
 }
 
 std::optional<gossip_message> read_greeting(wire::Greeting::Reader in) {
@@ -71,6 +75,8 @@
     it.config_digest = in.getConfigDigest();
     it.config_complete = in.getConfigComplete();
     it.registry_changed = object_version{in.getRegistryChanged(), in.getRegistryEra()};
+    if (in.getConfirmationAgeMs() != no_confirmation)
+        it.confirmation_age = std::chrono::milliseconds{in.getConfirmationAgeMs()};
     return it;
 }
 
--- a/tests/core/cluster/cluster_logic_test.cpp
+++ b/tests/core/cluster/cluster_logic_test.cpp
@@ -152,7 +152,9 @@
         message.config_digest = node.store.digest();
         message.config_complete = node.spread.is_complete();
     };
-    it.gossip_received = [&](const gossip_message& from) { node.spread.on_gossip(from); };
+    it.gossip_received = [&](const gossip_message& from, std::optional<time_point>) {
+        node.spread.on_gossip(from);
+    };
     it.changed = [] {};
     return it;
 }
--- a/tests/core/cluster/object_watcher_test.cpp
+++ b/tests/core/cluster/object_watcher_test.cpp
@@ -42,6 +42,7 @@
         it.changed = [this](const object_changes& changes) { changed.push_back(changes.revision.value()); };
         it.reached = [this](bool reached) { reached_now = reached; };
         it.is_store_watcher = [] { return true; };
+        it.confirmed = [] {};
         return it;
     }
 
@@ -219,4 +220,64 @@
     CHECK(it.list_limits[5] == milliseconds{4000});
 }
 
+TEST_CASE("a check finds changes that a lost watch does not bring, and the watch starts again") {
+    watcher_fixture it;
+    it.watcher.start();
+    it.answer_list(7);
+    const auto lost = std::exchange(it.watching, nullptr);
+    it.watcher.check();
+    CHECK(it.watch_waits.back() == duration{0});
+    const time_point asked_at = it.timers.now();
+    it.advance(4);
+    std::exchange(it.watching,
+                  nullptr)(object_changes{object_version{8}, {{object_of(entry_of("a", 8)), false}}});
+    CHECK(it.changed == std::vector<std::uint64_t>{8});
+    CHECK(it.watcher.confirmed_at() == asked_at);
+    it.advance(500);
+    REQUIRE(it.watching);
+    CHECK(it.watched_from.back() == 8);
+    lost(tl::unexpected{store_error::unavailable}); // The end of the lost watch changes nothing.
+    CHECK(it.reached_now);
+}
+
+// CONFIG: a store watcher noticed after 30 s that the store was silent.
+TEST_CASE("a check that the store does not answer ends the watch, and the store counts as not reached") {
+    watcher_fixture it;
+    it.watcher.start();
+    it.answer_list(7);
+    it.watcher.check();
+    it.fail_watch(store_error::unavailable);
+    CHECK_FALSE(it.reached_now);
+    it.advance(200);
+    REQUIRE(it.watching);
+    CHECK(it.watch_waits.back() == duration{0});
+    std::exchange(it.watching, nullptr)(object_changes{object_version{9}, {}});
+    CHECK(it.reached_now);
+}
+
+TEST_CASE("a check that finds another history leads to a list") {
+    watcher_fixture it;
+    it.watcher.start();
+    it.answer_list(7);
+    it.watcher.check();
+    std::exchange(it.watching, nullptr)(object_changes{object_version{5, 1}, {}});
+    REQUIRE(it.listing);
+    it.answer_list(9);
+    CHECK(it.replaced == std::vector<std::uint64_t>{7, 9});
+}
+
+TEST_CASE("a store that answers lists but not watches is listed while the watches fail") {
+    watcher_fixture it;
+    it.watcher.start();
+    it.answer_list(7);
+    for (int n = 0; n < 4; ++n) {
+        REQUIRE(it.watching);
+        it.fail_watch(store_error::unavailable);
+        it.advance(1600);
+    }
+    REQUIRE(it.listing);
+    it.answer_list(9);
+    CHECK(it.replaced == std::vector<std::uint64_t>{7, 9});
+}
+
 } // namespace pollengrade
