Fix: an odd entry of another writer hides no other entry of the store

A node that started beside such an entry never became ready. Cause: a reply of the store was parsed as one document, so a part that the parser refuses made all of it malformed, for ever. Objects without name or revision are counted and logged.

--- a/packages/core/config/object_type.h
+++ b/packages/core/config/object_type.h
@@ -59,6 +59,7 @@
 struct object_changes {
     object_version revision;            ///< revision of the store up to which the changes are complete
     std::vector<object_change> changes; ///< in order of revision
+    std::size_t unidentified = 0;       ///< changes left out because name or revision cannot be read
 };
 
 /** @return the name used in logs and metrics. */
