Fix: a server's own 503 is not passed on as the promise that a request has not run

Cause: the run passed on every answer that is not a proved refusal, whatever its status promises to callers. Ruled out: the codec's reading of proofs (it told the two apart before, and still does). Change: a reply whose status is a promise (408, 421, 429, 503) without the server's proof is marked; for a request that is not idempotent the node answers 502 of its own, without the server's signature.

--- a/packages/core/queries/forward_run.cpp
+++ b/packages/core/queries/forward_run.cpp
@@ -115,6 +115,9 @@
 }
 
 forward_answer forward_run::single_answer() {
+    // The caller would repeat a request that may have run.
+    if (reply_ && reply_->is_unproven_refusal && !job_.via->is_idempotent)
+        return failed_answer{forward_failure::unproven_refusal};
     if (reply_)
         return proxied_answer{std::move(reply_->message)};
     return answer_without_reply();
--- a/packages/core/queries/forward_type.cpp
+++ b/packages/core/queries/forward_type.cpp
@@ -12,7 +12,8 @@
 }
 
 std::string_view to_string(forward_failure it) {
-    constexpr std::array<std::string_view, 3> names{"timed_out", "connection_lost", "too_few_parts"};
+    constexpr std::array<std::string_view, 4> names{"timed_out", "connection_lost", "too_few_parts",
+                                                    "unproven_refusal"};
     return names.at(static_cast<std::size_t>(it));
 }
 
--- a/packages/core/queries/forward_type.h
+++ b/packages/core/queries/forward_type.h
@@ -44,9 +44,10 @@
 
 /** Why a request that may have run has no answer. */
 enum class forward_failure : std::uint8_t {
-    timed_out,       ///< no reply in time
-    connection_lost, ///< the connection of every attempt ended without a complete reply
-    too_few_parts,   ///< fewer shards replied than an answer requires
+    timed_out,        ///< no reply in time
+    connection_lost,  ///< the connection of every attempt ended without a complete reply
+    too_few_parts,    ///< fewer shards replied than an answer requires
+    unproven_refusal, ///< a server's status says that the request has not run, but not that this is certain
 };
 
 /** The request may have run, but there is no answer. */
--- a/packages/core/upstreams/attempt_type.h
+++ b/packages/core/upstreams/attempt_type.h
@@ -43,6 +43,9 @@
 struct forwarded_reply {
     reply_message message; ///< without hop-by-hop header lines
     std::string signature; ///< signature by which the server proves that it made the reply; empty for none
+    /** Whether its status tells a caller that the request has not run, though the server did not state that.
+     */
+    bool is_unproven_refusal = false;
 };
 
 /** A server's reply. */
--- a/packages/peer/query_codec.cpp
+++ b/packages/peer/query_codec.cpp
@@ -99,7 +99,7 @@
             static_cast<forward_refusal>(in.getReason()),
             duration{std::clamp<std::int64_t>(in.getRetryAfterUs(), 0, max_retry_after_us)}};
     case answer_kind::failed:
-        if (in.getReason() > static_cast<std::uint8_t>(forward_failure::too_few_parts))
+        if (in.getReason() > static_cast<std::uint8_t>(forward_failure::unproven_refusal))
             return std::nullopt;
         return failed_answer{static_cast<forward_failure>(in.getReason())};
     case answer_kind::unroutable:
