Change: holders' answers carry the store's confirmation, and only two watchers check early

Change: a holder's answer to a delegated query carries what it knows and the age of its confirmation, so nodes with traffic need not ask. Watchers after the second are as patient as other nodes, whose checks are drawn. A field of its own in the answer; the fields of a probe stay where they were.

--- a/packages/core/cluster/config_gossip.cpp
+++ b/packages/core/cluster/config_gossip.cpp
@@ -57,7 +57,7 @@
 }
 
 bool config_gossip::lacks(const gossip_message& from) const {
-    return from.config_digest != store_.digest() || (from.config_complete && !complete_);
+    return from.knowledge.config_digest != store_.digest() || (from.config_complete && !complete_);
 }
 
 void config_gossip::begin_pull(const node_address& from) {
--- a/packages/core/cluster/config_gossip.h
+++ b/packages/core/cluster/config_gossip.h
@@ -72,6 +72,8 @@
     void take(const std::vector<config_entry>& entries);
     /** Compares a peer's configuration digest with the local one, and pulls if they differ. */
     void on_gossip(const gossip_message& from);
+    /** Pulls from a peer that is known to hold newer objects, and from others if that fails. */
+    void pull_from(const node_address& peer) { begin_pull(peer); }
     /** Pulls from a random peer; used by a node that starts while the platform is down. */
     void pull_from_peers();
     /** @return the entries that a peer holding the versions @p known lacks. */
--- a/packages/core/cluster/member_type.h
+++ b/packages/core/cluster/member_type.h
@@ -56,15 +56,20 @@
     return std::tie(a.incarnation, a.state) > std::tie(b.incarnation, b.state);
 }
 
+/** How current what a node knows is; what counts of it depends on what the receiver knows. */
+struct node_knowledge {
+    std::uint64_t config_digest = 0; ///< digest of the node's configuration
+    object_version registry_changed; ///< the latest change of a server's entry that the node knows
+    /** Age of the store's newest confirmation of what the node knows; nullopt if it has none. */
+    std::optional<duration> confirmation_age;
+};
+
 /** Payload of a probe and of its reply; bounded in size. */
 struct gossip_message {
-    member sender;                   ///< the sending node
-    std::vector<member> updates;     ///< at most max_updates_per_gossip, and one about the receiver
-    std::uint64_t config_digest = 0; ///< digest of the sender's configuration
-    bool config_complete = false;    ///< whether the sender holds the complete configuration
-    object_version registry_changed; ///< the latest change of a server's entry that the sender knows
-    /** Age of the store's newest confirmation of what the sender knows; nullopt if it has none. */
-    std::optional<duration> confirmation_age;
+    member sender;                ///< the sending node
+    std::vector<member> updates;  ///< at most max_updates_per_gossip, and one about the receiver
+    node_knowledge knowledge;     ///< of the sender
+    bool config_complete = false; ///< whether the sender holds the complete configuration
 };
 
 } // namespace pollengrade
--- a/packages/core/cluster/registry_sync.cpp
+++ b/packages/core/cluster/registry_sync.cpp
@@ -39,7 +39,7 @@
 }
 
 void registry_sync::on_gossip(const gossip_message& from) {
-    if (from.registry_changed <= servers_.revision() || lag_check_timer_)
+    if (from.knowledge.registry_changed <= servers_.revision() || lag_check_timer_)
         return;
     const node_address peer = from.sender.address;
     if (!reached_ || !watching_store_) {
@@ -47,7 +47,7 @@
         return;
     }
     lag_check_timer_ =
-        timers_.schedule_after(watch_catch_up_time, [this, peer, seen = from.registry_changed] {
+        timers_.schedule_after(watch_catch_up_time, [this, peer, seen = from.knowledge.registry_changed] {
             lag_check_timer_.reset();
             if (servers_.revision() < seen)
                 pull(peer);
--- a/packages/core/cluster/store_freshness.cpp
+++ b/packages/core/cluster/store_freshness.cpp
@@ -15,7 +15,9 @@
 constexpr double node_asks_after = 1.5;
 constexpr double acting_checks_after = 2; ///< and up to one more, drawn
 constexpr double node_checks_after = 3;
-constexpr std::size_t max_rank = 2;    ///< a watcher waits one interval for each rank before it, up to this
+/** So many watchers wait one interval for each rank before them; the later ones are as patient as other
+ * nodes. */
+constexpr std::size_t early_watchers = 2;
 constexpr double retry_interval = 0.5; ///< between two asks
 constexpr double leading_time = 6;     ///< then it is seen whether the watchers before this one can again
 constexpr double much_newer = 1;       ///< difference of ages for which the sender of a probe is asked
@@ -49,10 +51,12 @@
 void store_freshness::on_store_answer(time_point asked_at) {
     if (!on_confirmed(asked_at))
         return;
-    lead();
+    const auto rank = hooks_.watcher_rank();
+    if (is_acting() || (rank && *rank < early_watchers))
+        lead();
     schedule();
     const bool is_of_check = last_check_ != time_point{} && last_check_ <= asked_at;
-    if (is_needed_ && is_of_check && !hooks_.watcher_rank())
+    if (is_needed_ && is_of_check && !rank)
         act();
 }
 
@@ -122,9 +126,10 @@
 
 time_point store_freshness::check_due() const {
     const auto rank = hooks_.watcher_rank();
-    if (rank || is_acting()) {
+    const bool is_early_watcher = rank && *rank < early_watchers;
+    if (is_early_watcher || is_acting()) {
         const double behind =
-            rank ? static_cast<double>(std::min(*rank, max_rank)) : acting_checks_after - 1 + patience_;
+            is_early_watcher ? static_cast<double>(*rank) : acting_checks_after - 1 + patience_;
         const double after = timers_.now() < leads_until_ ? 1 : 1 + behind;
         return std::max(waits_from_ + times(interval_, after), last_check_ + interval_);
     }
--- a/packages/core/queries/delegation.h
+++ b/packages/core/queries/delegation.h
@@ -14,6 +14,7 @@
 #include "core/base/latency_profile.h"
 #include "core/base/metrics.h"
 #include "core/base/timer_queue.h"
+#include "core/cluster/member_type.h"
 #include "core/queries/forward_type.h"
 #include "core/queries/run_id.h"
 #include "core/upstreams/attempt_type.h"
@@ -35,6 +36,7 @@
     object_version version;   ///< version of the routes that the answer follows
     duration took{};          ///< time from when the holder read the query to its answer
     bool is_declined = false; ///< whether the holder didn't run it: its routes are too old, or it is stopping
+    node_knowledge knowledge{}; ///< of the holder, when it answered
 };
 
 /** Identifies one call to a holder. */
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -91,10 +91,8 @@
     it.list = [this](const node_address& from, const std::vector<std::uint64_t>& known,
                      const membership_hooks::list_done& done) { client_.list_members(from, known, done); };
     it.add_config = [this](gossip_message& message) {
-        message.config_digest = store_.digest();
+        message.knowledge = knowledge();
         message.config_complete = config_gossip_.is_complete();
-        message.registry_changed = servers_.changed_at();
-        message.confirmation_age = freshness_.age();
     };
     it.gossip_received = [this](const gossip_message& from, std::optional<time_point> asked_at) {
         on_gossip(from, asked_at);
@@ -107,14 +105,26 @@
     config_gossip_.on_gossip(from);
     registry_.on_gossip(from);
     // Only of a reply is it known how long it was on its way.
+    if (asked_at)
+        take_confirmation(from.knowledge, *asked_at);
+    else if (from.knowledge.confirmation_age)
+        freshness_.on_peer_probe(from.sender.address, *from.knowledge.confirmation_age);
+}
+
+node_knowledge cluster::knowledge() const {
+    return {store_.digest(), servers_.changed_at(), freshness_.age()};
+}
+
+void cluster::take_confirmation(const node_knowledge& peer, time_point asked_at) {
     const bool holds_all =
-        from.config_digest == store_.digest() && from.registry_changed <= servers_.revision();
-    if (!from.confirmation_age)
-        return;
-    if (!asked_at)
-        freshness_.on_peer_probe(from.sender.address, *from.confirmation_age);
-    else if (holds_all)
-        freshness_.on_peer_answer(*asked_at, *from.confirmation_age);
+        peer.config_digest == store_.digest() && peer.registry_changed <= servers_.revision();
+    if (peer.confirmation_age && holds_all)
+        freshness_.on_peer_answer(asked_at, *peer.confirmation_age);
+}
+
+void cluster::on_holder_answer(const node_address&, const delegated_answer& answer,
+                               time_point asked_at) {
+    take_confirmation(answer.knowledge, asked_at);
 }
 
 freshness_hooks cluster::make_freshness_hooks() {
@@ -209,7 +219,7 @@
     it.on_probe_through = [this](const node_address& target, const membership_hooks::reach_done& done) {
         gossip_message message;
         message.sender = membership_.self();
-        message.config_digest = store_.digest();
+        message.knowledge.config_digest = store_.digest();
         client_.probe(target, message,
                       [done](const std::optional<gossip_message>& reply) { done(reply.has_value()); });
     };
@@ -221,7 +231,12 @@
         return config_gossip_.answer_pull(known);
     };
     it.registry_changes = [this](object_version later_than) { return servers_.update_after(later_than); };
-    it.run_query = hooks_.run_query;
+    it.run_query = [this](const delegated_request& request, std::function<void(delegated_answer)> respond) {
+        return hooks_.run_query(request, [this, respond = std::move(respond)](delegated_answer answer) {
+            answer.knowledge = knowledge();
+            respond(std::move(answer));
+        });
+    };
     it.cancel_query = hooks_.cancel_query;
     return it;
 }
--- a/packages/daemon/cluster.h
+++ b/packages/daemon/cluster.h
@@ -69,6 +69,11 @@
     void set_store_watchers(bool divided, bool is_store_watcher, std::vector<node_address> store_watchers);
     /** Records that the store confirmed all that nodes pass on to each other. */
     void on_store_confirmed(time_point asked_at) { freshness_.on_store_answer(asked_at); }
+    /**
+     * Takes what a holder knew when it answered a query, and pulls newer routes that the answer follows.
+     * @param asked_at when the holder was called
+     */
+    void on_holder_answer(const node_address& holder, const delegated_answer& answer, time_point asked_at);
     /** @return the age of the store's newest confirmation, from this node or another one. */
     [[nodiscard]] std::optional<duration> confirmation_age() const { return freshness_.age(); }
     /** @return whether this node watches the store in place of the store watchers. */
@@ -92,6 +97,8 @@
     [[nodiscard]] std::optional<std::size_t> relay_rank() const;
     [[nodiscard]] std::optional<std::size_t> watcher_rank() const;
     [[nodiscard]] std::vector<node_address> nodes_to_announce_to() const;
+    [[nodiscard]] node_knowledge knowledge() const;
+    void take_confirmation(const node_knowledge& peer, time_point asked_at);
     void ask_watcher(std::uint32_t asked_before);
     void on_gossip(const gossip_message& from, std::optional<time_point> asked_at);
     freshness_hooks make_freshness_hooks();
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -124,7 +124,13 @@
     it.open = [this](delegation_call id, const node_address& to, duration limit,
                      const std::function<delegated_request()>& acknowledged,
                      std::function<void(std::optional<delegated_answer>)> done) {
-        cluster_.calls().forward(id, to, limit, acknowledged, std::move(done));
+        auto take = [this, to, asked_at = clock_.timers().now(),
+                     done = std::move(done)](std::optional<delegated_answer> answer) {
+            if (answer)
+                cluster_.on_holder_answer(to, *answer, asked_at);
+            done(std::move(answer));
+        };
+        cluster_.calls().forward(id, to, limit, acknowledged, std::move(take));
     };
     it.cancel = [this](delegation_call id) { cluster_.calls().cancel(id); };
     it.domain_of = [this](const node_address& at) { return cluster_.nodes().domain_of(at); };
--- a/packages/peer/peer.capnp
+++ b/packages/peer/peer.capnp
@@ -16,6 +16,14 @@
   capacity @7 :UInt32;      # thousandths of a core
 }
 
+# How current what a node knows is: core/cluster/member_type.h.
+struct Knowledge {
+  configDigest @0 :UInt64;
+  registryChanged @1 :UInt64; # registry revision of the latest server entry change known to the sender
+  registryEra @2 :UInt64;     # the store's era of that revision
+  confirmationAgeMs @3 :UInt32 = 0xffffffff; # age of the store's newest confirmation; the default is for none
+}
+
 # A gossip message, sent as a probe and as its reply; its size does not depend on the number of nodes.
 struct Greeting {
   sender @0 :Member;
@@ -75,6 +83,7 @@
   reason @8 :UInt8;          # refused, failed
   retryAfterUs @9 :Int64;    # refused
   tookUs @10 :Int64;         # time from when the holder read the query to its answer
+  knowledge @11 :Knowledge;
 }
 
 struct ConfigEntry {
--- a/packages/peer/peer.capnp.h
+++ b/packages/peer/peer.capnp.h
@@ -20,6 +20,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(ac7ef388347b274a);
+CAPNP_DECLARE_SCHEMA(fca8ed5131d5642d);
 CAPNP_DECLARE_SCHEMA(c301247bd356c89f);
 CAPNP_DECLARE_SCHEMA(d192ca4076c7154b);
 CAPNP_DECLARE_SCHEMA(ffac76511af9adef);
@@ -63,6 +64,21 @@
   };
 };
 
+struct Knowledge {
+  Knowledge() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fca8ed5131d5642d, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Greeting {
   Greeting() = delete;
 
@@ -131,7 +147,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c602fecf27b5cc27, 5, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c602fecf27b5cc27, 5, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -527,6 +543,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class Knowledge::Reader {
+public:
+  typedef Knowledge Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getConfigDigest() const;
+
+  inline  ::uint64_t getRegistryChanged() const;
+
+  inline  ::uint64_t getRegistryEra() const;
+
+  inline  ::uint32_t getConfirmationAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Knowledge::Builder {
+public:
+  typedef Knowledge Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getConfigDigest();
+  inline void setConfigDigest( ::uint64_t value);
+
+  inline  ::uint64_t getRegistryChanged();
+  inline void setRegistryChanged( ::uint64_t value);
+
+  inline  ::uint64_t getRegistryEra();
+  inline void setRegistryEra( ::uint64_t value);
+
+  inline  ::uint32_t getConfirmationAgeMs();
+  inline void setConfirmationAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Knowledge::Pipeline {
+public:
+  typedef Knowledge Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Greeting::Reader {
 public:
   typedef Greeting Reads;
@@ -1084,6 +1191,9 @@
 
   inline  ::int64_t getTookUs() const;
 
+  inline bool hasKnowledge() const;
+  inline  ::pollengrade::wire::Knowledge::Reader getKnowledge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1158,6 +1268,13 @@
   inline  ::int64_t getTookUs();
   inline void setTookUs( ::int64_t value);
 
+  inline bool hasKnowledge();
+  inline  ::pollengrade::wire::Knowledge::Builder getKnowledge();
+  inline void setKnowledge( ::pollengrade::wire::Knowledge::Reader value);
+  inline  ::pollengrade::wire::Knowledge::Builder initKnowledge();
+  inline void adoptKnowledge(::capnp::Orphan< ::pollengrade::wire::Knowledge>&& value);
+  inline ::capnp::Orphan< ::pollengrade::wire::Knowledge> disownKnowledge();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1176,6 +1293,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::pollengrade::wire::Knowledge::Pipeline getKnowledge();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2717,6 +2835,62 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Knowledge::Reader::getConfigDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Knowledge::Builder::getConfigDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Knowledge::Builder::setConfigDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Knowledge::Reader::getRegistryChanged() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Knowledge::Builder::getRegistryChanged() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Knowledge::Builder::setRegistryChanged( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Knowledge::Reader::getRegistryEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Knowledge::Builder::getRegistryEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Knowledge::Builder::setRegistryEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Knowledge::Reader::getConfirmationAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t Knowledge::Builder::getConfirmationAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void Knowledge::Builder::setConfirmationAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
 inline bool Greeting::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3668,6 +3842,45 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool DelegatedAnswer::Reader::hasKnowledge() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool DelegatedAnswer::Builder::hasKnowledge() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pollengrade::wire::Knowledge::Reader DelegatedAnswer::Reader::getKnowledge() const {
+  return ::capnp::_::PointerHelpers< ::pollengrade::wire::Knowledge>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::pollengrade::wire::Knowledge::Builder DelegatedAnswer::Builder::getKnowledge() {
+  return ::capnp::_::PointerHelpers< ::pollengrade::wire::Knowledge>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pollengrade::wire::Knowledge::Pipeline DelegatedAnswer::Pipeline::getKnowledge() {
+  return  ::pollengrade::wire::Knowledge::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void DelegatedAnswer::Builder::setKnowledge( ::pollengrade::wire::Knowledge::Reader value) {
+  ::capnp::_::PointerHelpers< ::pollengrade::wire::Knowledge>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::pollengrade::wire::Knowledge::Builder DelegatedAnswer::Builder::initKnowledge() {
+  return ::capnp::_::PointerHelpers< ::pollengrade::wire::Knowledge>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void DelegatedAnswer::Builder::adoptKnowledge(
+    ::capnp::Orphan< ::pollengrade::wire::Knowledge>&& value) {
+  ::capnp::_::PointerHelpers< ::pollengrade::wire::Knowledge>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pollengrade::wire::Knowledge> DelegatedAnswer::Builder::disownKnowledge() {
+  return ::capnp::_::PointerHelpers< ::pollengrade::wire::Knowledge>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t ConfigEntry::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/peer/peer_codec.cpp
+++ b/packages/peer/peer_codec.cpp
@@ -21,6 +21,27 @@
     return std::string{it.cStr(), it.size()};
 }
 
+/** Writes what a node knows into a message that has these fields. */
+template <typename Builder> void write_fields(const node_knowledge& it, Builder& out) {
+    out.setConfigDigest(it.config_digest);
+    out.setRegistryChanged(it.registry_changed.value());
+    out.setRegistryEra(it.registry_changed.era());
+    if (!it.confirmation_age)
+        return;
+    const std::int64_t age = to_milliseconds(*it.confirmation_age) + 1; // Never understated.
+    out.setConfirmationAgeMs(
+        static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::int64_t{no_confirmation} - 1)));
+}
+
+template <typename Reader> node_knowledge read_fields(const Reader& in) {
+    node_knowledge it;
+    it.config_digest = in.getConfigDigest();
+    it.registry_changed = object_version{in.getRegistryChanged(), in.getRegistryEra()};
+    if (in.getConfirmationAgeMs() != no_confirmation)
+        it.confirmation_age = std::chrono::milliseconds{in.getConfirmationAgeMs()};
+    return it;
+}
+
 } // namespace
 
 void write_member(const member& it, wire::Member::Builder out) {
@@ -54,15 +75,10 @@
     auto updates = out.initUpdates(static_cast<unsigned>(it.updates.size()));
     for (unsigned n = 0; n < updates.size(); ++n)
         write_member(it.updates[n], updates[n]);
-    out.setConfigDigest(it.config_digest);
     out.setConfigComplete(it.config_complete);
     out.setStampWallMs(stamp.wall_ms);
     out.setStampCounter(stamp.counter);
-    out.setRegistryChanged(it.registry_changed.value());
-    out.setRegistryEra(it.registry_changed.era());
-    if (it.confirmation_age)
-        out.setConfirmationAgeMs(static_cast<std::uint32_t>(
-            std::clamp<std::int64_t>(to_milliseconds(*it.confirmation_age) + 1, 0, no_confirmation - 1)));
+    write_fields(it.knowledge, out);
 }
 
 std::optional<gossip_message> read_greeting(wire::Greeting::Reader in) {
@@ -72,14 +88,19 @@
     gossip_message it;
     it.sender = *sender;
     it.updates = read_members(in.getUpdates());
-    it.config_digest = in.getConfigDigest();
     it.config_complete = in.getConfigComplete();
-    it.registry_changed = object_version{in.getRegistryChanged(), in.getRegistryEra()};
-    if (in.getConfirmationAgeMs() != no_confirmation)
-        it.confirmation_age = std::chrono::milliseconds{in.getConfirmationAgeMs()};
+    it.knowledge = read_fields(in);
     return it;
 }
 
+void write_knowledge(const node_knowledge& it, wire::Knowledge::Builder out) {
+    write_fields(it, out);
+}
+
+node_knowledge read_knowledge(wire::Knowledge::Reader in) {
+    return read_fields(in);
+}
+
 event_stamp read_stamp(wire::Greeting::Reader in) {
     return {in.getStampWallMs(), in.getStampCounter()};
 }
--- a/packages/peer/peer_codec.h
+++ b/packages/peer/peer_codec.h
@@ -21,6 +21,8 @@
 /** @return the member; nullopt if a field is invalid. */
 [[nodiscard]] std::optional<member> read_member(wire::Member::Reader in);
 
+void write_knowledge(const node_knowledge& it, wire::Knowledge::Builder out);
+[[nodiscard]] node_knowledge read_knowledge(wire::Knowledge::Reader in);
 void write_greeting(const gossip_message& it, event_stamp stamp, wire::Greeting::Builder out);
 [[nodiscard]] std::optional<gossip_message> read_greeting(wire::Greeting::Reader in);
 /** @return the sender's hybrid logical clock. */
--- a/packages/peer/query_codec.cpp
+++ b/packages/peer/query_codec.cpp
@@ -154,6 +154,7 @@
     out.setVersion(it.version.value());
     out.setTookUs(it.took.count());
     out.setIsStale(it.is_declined);
+    write_knowledge(it.knowledge, out.initKnowledge());
     std::visit(answer_writer{out}, it.answer);
 }
 
@@ -162,7 +163,8 @@
     if (!answer)
         return std::nullopt;
     return delegated_answer{std::move(*answer), object_version{in.getVersion()},
-                            duration{std::max<std::int64_t>(0, in.getTookUs())}, in.getIsStale()};
+                            duration{std::max<std::int64_t>(0, in.getTookUs())}, in.getIsStale(),
+                            read_knowledge(in.getKnowledge())};
 }
 
 } // namespace pollengrade
