Fix: a node pulls newer routes from the holder whose answer follows them

Cause: on an answer that follows newer routes the node asked one random node of its own domain, which lacked them as well; other domains were asked with a probe and 700 ms later. Ruled out: the version that the answer carries, and the holder's own routes: both were right. Change: the node pulls from that holder, at once and whatever its domain; the answer does not wait for it. Why it works: the holder has the routes, as its answer was made by them, and has just answered; a pull is one call, of some milliseconds, where 250 are allowed.

--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -122,11 +122,22 @@
         freshness_.on_peer_answer(asked_at, *peer.confirmation_age);
 }
 
-void cluster::on_holder_answer(const node_address&, const delegated_answer& answer,
+void cluster::on_holder_answer(const node_address& holder, const delegated_answer& answer,
                                time_point asked_at) {
+    if (answer.version > routes_version_held())
+        config_gossip_.pull_from(holder);
     take_confirmation(answer.knowledge, asked_at);
 }
 
+object_version cluster::routes_version_held() const {
+    object_version held;
+    for (const auto& [key, entry] : store_.entries()) {
+        if (key.kind == config_kind::routes)
+            held = std::max(held, entry.version);
+    }
+    return held;
+}
+
 freshness_hooks cluster::make_freshness_hooks() {
     freshness_hooks it;
     it.watcher_rank = [this] { return is_routed_ ? watcher_rank() : relay_rank(); };
--- a/packages/daemon/cluster.h
+++ b/packages/daemon/cluster.h
@@ -98,6 +98,7 @@
     [[nodiscard]] std::optional<std::size_t> watcher_rank() const;
     [[nodiscard]] std::vector<node_address> nodes_to_announce_to() const;
     [[nodiscard]] node_knowledge knowledge() const;
+    [[nodiscard]] object_version routes_version_held() const;
     void take_confirmation(const node_knowledge& peer, time_point asked_at);
     void ask_watcher(std::uint32_t asked_before);
     void on_gossip(const gossip_message& from, std::optional<time_point> asked_at);
--- a/tests/core/cluster/cluster_logic_test.cpp
+++ b/tests/core/cluster/cluster_logic_test.cpp
@@ -149,7 +149,7 @@
             done);
     };
     it.add_config = [&](gossip_message& message) {
-        message.config_digest = node.store.digest();
+        message.knowledge.config_digest = node.store.digest();
         message.config_complete = node.spread.is_complete();
     };
     it.gossip_received = [&](const gossip_message& from, std::optional<time_point>) {
@@ -393,4 +393,27 @@
     CHECK(moved <= 10);
 }
 
+// CONFIG: a node that had shown a version through a holder acted on the older one for seconds.
+TEST_CASE("routes that a holder's answer follows are pulled from the holder at once, whatever its domain") {
+    timer_queue timers = paused_clock();
+    metrics counts;
+    config_store store{[](const config_entry&) { return true; }};
+    std::vector<node_address> pulled_from;
+    config_gossip_hooks hooks;
+    hooks.random_peers = [](std::size_t) { return std::vector<node_address>{node_address{"other:1"}}; };
+    hooks.random_local_peers = hooks.random_peers;
+    hooks.is_cross_domain = [](const node_address&) { return true; };
+    hooks.push = [](const node_address&, const std::vector<config_entry>&) {};
+    hooks.pull = [&pulled_from](const node_address& from, const std::vector<config_version>&,
+                                const config_gossip_hooks::pulled&) { pulled_from.push_back(from); };
+    hooks.outdated = [](const config_entry&, object_version) {};
+    hooks.completed = [] {};
+    config_gossip spread{timers, store, counts, 0, hooks};
+    spread.set_local_first(true);
+    spread.set_complete();
+    spread.pull_from(node_address{"holder:1"});
+    spread.pull_from_peers(); // Also asked for: the pull from the holder is under way.
+    CHECK(pulled_from == std::vector{node_address{"holder:1"}});
+}
+
 } // namespace pollengrade
