Fix: a server that states in its replies that it leaves gets no more requests from the node that read it

What callers would see: a node that is out of touch with the store, or whose store or peer still lists the server as ready, goes on sending to a server that has told it in every answer that it leaves (DRAIN, in touch or not). Nothing read the header. Cause: leaving was learned from the store, from peers and on our own interface only. Ruled out: an entry that reads ready again clears it (mark_live() needs another incarnation; shown by the test). Change: the header of any reply marks the server as leaving at once, before what waits is sent on. It is remembered for ten minutes by the server's id with its start, so an entry that comes back after the server was removed names no server to use. 421 is left out: another server at the address states it of itself, and the one that was asked is marked as gone already. Passed on to callers as the server's other fields. Why it works: upstream::condition() is what every choice asks: first attempts, retries, hedges, trials, waiting queues and queries run for other nodes.

--- a/packages/core/upstreams/dispatcher.cpp
+++ b/packages/core/upstreams/dispatcher.cpp
@@ -50,6 +50,9 @@
     const auto [it, is_new] = upstreams_.try_emplace(identity.id, identity, limits);
     it->second.set_limits(limits);
     it->second.rate().set_sharing_nodes(timers_.now(), limits.sharing_nodes);
+    // An entry may come back, from a store or a peer that does not know yet, after the server was removed.
+    if (is_new && stated_leaving_.contains(identity.id))
+        it->second.mark_leaving({});
     if (is_new) {
         log_.record(event_kind::upstream_added, {}, identity.id.value(),
                     {{event_key::address, identity.address.value()},
--- a/packages/core/upstreams/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -37,6 +37,7 @@
     bool keeps_connection = true; ///< whether the connection is still open
     duration idle_timeout{};      ///< how long the server keeps it open unused; zero if it did not state it
     rate_statement rate;          ///< the request rate that the server accepts
+    bool is_leaving = false;      ///< whether the server states that it is leaving
 };
 
 /** Why an attempt is cancelled. */
@@ -154,6 +155,7 @@
     void note_result(upstream& server, const attempt& sent, const attempt_result& result);
     void note_rate(upstream& server, const attempt& sent, const attempt_result& result,
                    const rate_statement& rate);
+    void note_stated_leaving(upstream& server);
     void note_failure(upstream& server, std::string_view cause);
     void close_unused();
     void arm_unused_check();
@@ -173,17 +175,18 @@
     std::map<upstream_id, upstream> upstreams_;                    ///< by ID
     std::map<replica_set_name, replica_set> sets_;                 ///< by name
     std::map<upstream_id, std::vector<replica_set_name>> sets_of_; ///< the sets that each server belongs to
-    std::unordered_map<work_class, latency_profile> profiles_;     ///< times of good replies, by kind of work
-    std::unordered_map<attempt_id, attempt> attempts_;             ///< attempts waiting or in flight
-    std::unordered_map<connection_id, upstream_id> owners_;        ///< the server of each connection
-    std::map<connection_id, timer_id> connect_timeouts_;           ///< timeouts of connections being opened
-    std::map<upstream_id, timer_id> reconnects_;                   ///< pending attempts to reconnect
-    std::map<replica_set_name, timer_id> rate_checks_;             ///< see arm_rate_check()
-    std::optional<timer_id> response_check_;                       ///< pending check_unresponsive()
-    std::optional<timer_id> unused_check_;                         ///< pending close_unused()
-    std::size_t live_attempts_ = 0;                                ///< see live_attempts()
-    std::uint64_t next_attempt_ = 1;                               ///< the next attempt's ID
-    std::uint64_t next_connection_ = 1;                            ///< the next connection's ID
+    std::map<upstream_id, time_point> stated_leaving_; ///< servers that said so, also removed ones, and when
+    std::unordered_map<work_class, latency_profile> profiles_; ///< times of good replies, by kind of work
+    std::unordered_map<attempt_id, attempt> attempts_;         ///< attempts waiting or in flight
+    std::unordered_map<connection_id, upstream_id> owners_;    ///< the server of each connection
+    std::map<connection_id, timer_id> connect_timeouts_;       ///< timeouts of connections being opened
+    std::map<upstream_id, timer_id> reconnects_;               ///< pending attempts to reconnect
+    std::map<replica_set_name, timer_id> rate_checks_;         ///< see arm_rate_check()
+    std::optional<timer_id> response_check_;                   ///< pending check_unresponsive()
+    std::optional<timer_id> unused_check_;                     ///< pending close_unused()
+    std::size_t live_attempts_ = 0;                            ///< see live_attempts()
+    std::uint64_t next_attempt_ = 1;                           ///< the next attempt's ID
+    std::uint64_t next_connection_ = 1;                        ///< the next connection's ID
 };
 
 } // namespace pollengrade
--- a/packages/core/upstreams/dispatcher_results.cpp
+++ b/packages/core/upstreams/dispatcher_results.cpp
@@ -10,6 +10,9 @@
 
 /** Interval of checks while requests are in flight. */
 constexpr duration response_check_period = std::chrono::milliseconds{50};
+/** Time for which it is remembered that a server stated that it leaves. */
+constexpr duration departure_retention = std::chrono::minutes{10};
+constexpr std::size_t max_departures = 16384; ///< servers remembered at most
 
 } // namespace
 
@@ -27,6 +30,9 @@
     const attempt_id answered = request->attempt;
     note_rate(server, attempts_.at(answered), result, terms.rate);
     note_result(server, attempts_.at(answered), result);
+    // Another server that uses the address now states this of itself.
+    if (terms.is_leaving && (result || result.error().code != attempt_error::wrong_server))
+        note_stated_leaving(server);
     const bool kept = terms.keeps_connection;
     // A reply to another request means that requests and replies on this connection no longer match.
     const bool matches = result || result.error().code != attempt_error::wrong_request;
@@ -139,6 +145,19 @@
     }
 }
 
+void dispatcher::note_stated_leaving(upstream& server) {
+    const time_point now = timers_.now();
+    if (!server.identity().instance.empty()) {
+        std::erase_if(stated_leaving_,
+                      [now](const auto& it) { return it.second + departure_retention < now; });
+        if (stated_leaving_.size() < max_departures)
+            stated_leaving_[server.id()] = now;
+    }
+    if (!server.is_leaving())
+        ++counts_.counter("servers_stated_leaving");
+    note_leaving(server.id(), server.incarnation());
+}
+
 void dispatcher::note_failure(upstream& server, std::string_view cause) {
     const time_point now = timers_.now();
     const bool was_degraded = server.health().is_degraded(now);
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -54,6 +54,7 @@
         return decode_forwarded(request.request, std::move(reply));
     };
     codec.read_rate = read_rate_statement;
+    codec.states_leaving = states_leaving;
     return codec;
 }
 
--- a/tests/core/upstreams/dispatcher_test.cpp
+++ b/tests/core/upstreams/dispatcher_test.cpp
@@ -278,4 +278,57 @@
     }
 }
 
+// DRAIN: a node out of touch with the store went on sending to servers that had told it that they leave.
+TEST_CASE("a server that states in a reply that it leaves gets no more requests, whatever its entry says") {
+    for (const bool succeeds : {true, false}) {
+        fixture it;
+        const upstream_id leaving = it.network.add("a");
+        it.publish({leaving});
+        it.network.connect_all();
+        it.submit();
+        it.submit();
+        it.submit(); // Waits: both connections are in use.
+        it.network.connect_all();
+        REQUIRE(it.network.requests().size() == 2);
+        const auto result = succeeds ? good_reply("proof") : failure(attempt_error::shed);
+        it.network.answer_leaving(it.network.requests().front().connection, result);
+        it.pass(0);
+        CHECK(it.network.requests().size() == 1); // What was on its way; the waiting attempt has failed.
+        CHECK(it.network.servers().availability_of(replica_set_name{"set"}, {}, placement_purpose::retry) ==
+              availability::none);
+        it.network.servers().note_live(leaving, "a");
+        it.network.servers().put_server(
+            {leaving, upstream_address{"127.9.0.1:9000"}, failure_domain{"here"}, "a"}, {2, 2});
+        CHECK(it.network.servers().find(leaving)->is_leaving());
+    }
+}
+
+TEST_CASE("a server that stated that it leaves stays so when its entry is removed and comes back") {
+    fixture it;
+    const upstream_id leaving = it.network.add("a");
+    it.publish({leaving});
+    it.network.connect_all();
+    it.submit();
+    it.network.refuse_all(); // The connection that is opened ahead.
+    it.network.answer_leaving(it.network.requests().front().connection, good_reply("proof"));
+    it.network.servers().remove_server(leaving);
+    REQUIRE(it.network.servers().find(leaving) == nullptr);
+    it.network.add("a");
+    it.publish({leaving});
+    REQUIRE(it.network.servers().find(leaving) != nullptr);
+    CHECK(it.network.servers().find(leaving)->is_leaving());
+    const upstream_id restarted = it.network.add("a@2"); // A new start is a server of its own.
+    CHECK_FALSE(it.network.servers().find(restarted)->is_leaving());
+}
+
+TEST_CASE("what another server at the address states of itself does not count for the one that is gone") {
+    fixture it;
+    const upstream_id gone = it.network.add("a");
+    it.publish({gone});
+    it.network.connect_all();
+    it.submit();
+    it.network.answer_leaving(it.network.requests().front().connection, failure(attempt_error::wrong_server));
+    CHECK(it.network.counts().counter("servers_stated_leaving") == 0);
+}
+
 } // namespace pollengrade
--- a/tests/support/fake_network.h
+++ b/tests/support/fake_network.h
@@ -88,6 +88,12 @@
         servers_.on_answered(id, std::move(result), {kept, {}, rate});
     }
 
+    /** Answers a request with a reply that states that its server is leaving. */
+    void answer_leaving(connection_id id, attempt_result result) {
+        requests_.erase(id);
+        servers_.on_answered(id, std::move(result), {true, {}, {}, true});
+    }
+
     /** @return requests that wait for their answer, ordered by connection. */
     [[nodiscard]] std::vector<pending_request> requests() const {
         std::vector<pending_request> list;
