Fix: a server that asks for a pause gets no request until its end

What callers would see: a server that answers 503 with Retry-After went on getting retries, trials and, when all of its service asked for a pause, first attempts, after a second at the latest (BUDGET); callers were told to come back after 50 or 100 ms, and were turned away again. Cause: the time was taken as a hint for load: at most one second, and a degraded server is still used when no better one is left. Ruled out: Retry-After unread (it was read, of refusals only, and bounded to a second in upstream_health). Change: a condition of its own, paused, which no choice of a server passes; of any 503, also one without proof that nothing ran. Values that are no number are counted and ignored, long ones reduced to [servers] max_pause_s. Nodes come back spread over an eighth of the pause, each with one request at a time until a good answer. A refusal that pauses cause tells callers the soonest end, at most a third of their time left. Four copies of the same test of conditions became takes_requests(). Why it works: as for a leaving server, every choice and the queues ask upstream::condition().

--- a/packages/core/base/event_log.cpp
+++ b/packages/core/base/event_log.cpp
@@ -9,18 +9,19 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(event_kind::count)> kind_names{
-    "node_started",         "node_ready",           "node_stopping",          "node_stopped",
-    "settings_reloaded",    "settings_rejected",    "request_received",       "request_refused",
-    "request_ended",        "request_abandoned",    "snapshot_pinned",        "query_planned",
-    "query_replanned",      "shard_hedged",         "shard_retried",          "shard_missing",
-    "attempt_failed",       "request_forwarded",    "order_claimed",          "order_sent",
-    "order_recorded",       "order_released",       "upstream_added",         "upstream_removed",
-    "upstream_draining",    "upstream_unreachable", "upstream_reachable",     "upstream_suspected",
-    "upstream_cleared",     "upstream_limited",     "upstream_unlimited",     "connection_ended",
-    "document_in_force",    "shard_map_in_force",   "routes_in_force",        "routes_rejected",
-    "registry_replaced",    "entries_unreadable",   "store_confirmation_old", "store_watch_taken_over",
-    "platform_unreachable", "platform_reachable",   "platform_restored",      "config_outdated",
-    "member_joined",        "member_left",          "process_suspended",      "lines_left_out"};
+    "node_started",           "node_ready",           "node_stopping",      "node_stopped",
+    "settings_reloaded",      "settings_rejected",    "request_received",   "request_refused",
+    "request_ended",          "request_abandoned",    "snapshot_pinned",    "query_planned",
+    "query_replanned",        "shard_hedged",         "shard_retried",      "shard_missing",
+    "attempt_failed",         "request_forwarded",    "order_claimed",      "order_sent",
+    "order_recorded",         "order_released",       "upstream_added",     "upstream_removed",
+    "upstream_draining",      "upstream_unreachable", "upstream_reachable", "upstream_suspected",
+    "upstream_cleared",       "upstream_limited",     "upstream_unlimited", "upstream_paused",
+    "connection_ended",       "document_in_force",    "shard_map_in_force", "routes_in_force",
+    "routes_rejected",        "registry_replaced",    "entries_unreadable", "store_confirmation_old",
+    "store_watch_taken_over", "platform_unreachable", "platform_reachable", "platform_restored",
+    "config_outdated",        "member_joined",        "member_left",        "process_suspended",
+    "lines_left_out"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(event_key::count)> key_names{
     "address",     "age_ms",         "asked",       "attempts",    "cause",      "code",
--- a/packages/core/base/event_log.h
+++ b/packages/core/base/event_log.h
@@ -49,6 +49,7 @@
     upstream_cleared,
     upstream_limited,
     upstream_unlimited,
+    upstream_paused, ///< a server asked for a pause
     connection_ended,
     document_in_force,
     shard_map_in_force,
--- a/packages/core/config/node_settings.cpp
+++ b/packages/core/config/node_settings.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<key_rule, 20> rules{{
+constexpr std::array<key_rule, 21> rules{{
     {"node", "name", setting_type::text, 1, 63, "", true, "", "",
      "Name of the node in logs and in the event log."},
     {"node", "interface", setting_type::choice, 0, 0, "documents", false, "documents|routes", "",
@@ -52,6 +52,8 @@
      "With interface = routes: further hedges and retries in each window, over all nodes."},
     {"retries", "window_s", setting_type::decimal, 1, 3600, "10", false, "", "s",
      "Sliding window over which ratio and slack are counted."},
+    {"servers", "max_pause_s", setting_type::decimal, 0, 3600, "300", false, "", "s",
+     "Longest pause that a server may ask for; a longer one is reduced to it."},
 }};
 
 /**
@@ -125,6 +127,7 @@
     it.caller_round_trip = milliseconds_of(*ini, "node", "caller_round_trip_ms");
     it.budget.ratio = ini->decimal("retries", "ratio");
     it.budget.slack = ini->decimal("retries", "slack");
+    it.max_pause = seconds_of(*ini, "servers", "max_pause_s");
     it.budget.window = seconds_of(*ini, "retries", "window_s");
     const auto peer_port = static_cast<std::uint32_t>(ini->number("cluster", "peer_port"));
     if (!split_addresses(ini->text("cluster", "seeds"), peer_port, it.seeds)) {
--- a/packages/core/config/node_settings.h
+++ b/packages/core/config/node_settings.h
@@ -40,6 +40,7 @@
     std::uint32_t capacity = 0;      ///< CPU capacity in millicores: share times speed
     duration caller_round_trip{};    ///< to callers whose connection does not tell it; routes only
     duration apply_limit{};          ///< time within which a change in the store must be in force
+    duration max_pause{};            ///< longest pause that a server may ask for
     duration grace{};                ///< longest time from the stop signal to the end of the process
     node_address platform;           ///< address of the platform's object API
     duration server_heartbeat{};     ///< interval at which servers renew their entries in the platform
--- a/packages/core/queries/admission.cpp
+++ b/packages/core/queries/admission.cpp
@@ -13,18 +13,36 @@
     std::chrono::milliseconds{20}; ///< one event loop iteration and a new connection
 constexpr duration no_server_retry_after =
     std::chrono::milliseconds{100}; ///< until a lost server is tried again
+constexpr int honoured_part = 3;    ///< callers wait for at most this part of the time that they have left
 constexpr double usual_reply_quantile = 0.9;
 
+/**
+ * @param pauses time left of the pauses of sets without another server
+ * @param lacking sets that must have a server again
+ * @return when a caller whose request needs them may retry
+ */
+duration wait_for_servers(std::vector<duration> pauses, std::size_t lacking, duration time_left) {
+    if (pauses.size() < lacking)
+        return no_server_retry_after;
+    const auto last_needed = pauses.begin() + static_cast<std::ptrdiff_t>(lacking - 1);
+    std::nth_element(pauses.begin(), last_needed, pauses.end());
+    return std::max(min_retry_after, std::min(*last_needed, time_left / honoured_part));
+}
+
 } // namespace
 
 admission_decision admit(const dispatcher& servers, const admission_inputs& it) {
     admission_decision decision;
+    std::vector<duration> pauses; // left, at sets all of whose servers asked for one
     std::vector<duration> excess; // of the waits at reachable sets that cannot reply in time
     const duration reply = servers.latency_quantile(it.work, usual_reply_quantile).value_or(duration{0});
     for (const replica_set_name& set : it.sets) {
         const availability found = servers.availability_of(set, {}, placement_purpose::no_trial);
-        if (found == availability::none)
+        if (found == availability::none) {
+            if (const auto pause = servers.pause_wait(set))
+                pauses.push_back(*pause);
             continue;
+        }
         ++decision.reachable;
         if (found == availability::immediate) {
             ++decision.in_time;
@@ -43,7 +61,9 @@
                                              : std::max(queue - it.time_left, rate_excess));
     }
     if (decision.reachable < it.min_sets) {
-        decision.refusal = refused_answer{forward_refusal::no_server, no_server_retry_after};
+        decision.refusal = refused_answer{
+            forward_refusal::no_server,
+            wait_for_servers(std::move(pauses), it.min_sets - decision.reachable, it.time_left)};
     } else if (decision.in_time < it.min_sets) {
         // The request can be served once as many more sets as it lacks have room.
         const auto last_needed =
--- a/packages/core/queries/forward_run.cpp
+++ b/packages/core/queries/forward_run.cpp
@@ -134,15 +134,20 @@
     return it;
 }
 
-std::optional<refused_answer> forward_run::refusal_within_rates() const {
+std::optional<refused_answer> forward_run::refusal_until_admitted() const {
     const auto& shards = gather_->shards();
-    if (std::none_of(shards.begin(), shards.end(),
-                     [](const shard_progress& it) { return it.last_error == attempt_error::rate_limited; }))
+    const bool is_limited = std::any_of(shards.begin(), shards.end(), [](const shard_progress& it) {
+        return it.last_error == attempt_error::rate_limited;
+    });
+    const bool is_paused = std::any_of(job_.targets.begin(), job_.targets.end(), [this](const auto& it) {
+        return context_.servers.pause_wait(it.set).has_value();
+    });
+    if (!is_limited && !is_paused)
         return std::nullopt;
     // The caller is told to return when a new request of its kind would be admitted.
-    const auto decision = admit(context_.servers, admission_inputs_of(job_, job_.arrived));
-    return refused_answer{forward_refusal::overload,
-                          decision.refusal ? decision.refusal->retry_after : refused_retry_after};
+    const auto decision = admit(context_.servers, admission_inputs_of(job_, context_.timers.now()));
+    const duration wait = decision.refusal ? decision.refusal->retry_after : refused_retry_after;
+    return refused_answer{is_limited ? forward_refusal::overload : forward_refusal::refused_by_all, wait};
 }
 
 forward_answer forward_run::answer_without_reply() const {
@@ -152,7 +157,7 @@
             return refused_answer{forward_refusal::stopping, stopping_retry_after};
         if (is_late)
             return refused_answer{forward_refusal::no_time, refused_retry_after};
-        if (const auto refusal = refusal_within_rates())
+        if (const auto refusal = refusal_until_admitted())
             return *refusal;
         const bool was_shed =
             std::any_of(gather_->shards().begin(), gather_->shards().end(),
--- a/packages/core/queries/forward_run.h
+++ b/packages/core/queries/forward_run.h
@@ -62,8 +62,8 @@
     [[nodiscard]] forward_answer single_answer();
     [[nodiscard]] forward_answer merged_answer();
     [[nodiscard]] forward_answer answer_without_reply() const;
-    /** @return the refusal if nothing was sent because of the rates that servers state; nullopt otherwise. */
-    [[nodiscard]] std::optional<refused_answer> refusal_within_rates() const;
+    /** @return the refusal if servers limit their rate or all asked for a pause; nullopt otherwise. */
+    [[nodiscard]] std::optional<refused_answer> refusal_until_admitted() const;
 
     run_context context_;                  ///< components of the node
     forward_job job_;                      ///< the request and where it goes
--- a/packages/core/upstreams/dispatcher.cpp
+++ b/packages/core/upstreams/dispatcher.cpp
@@ -130,8 +130,7 @@
         const upstream* server = find(id);
         if (server == nullptr || std::find(excluded.begin(), excluded.end(), id) != excluded.end())
             continue;
-        const upstream_condition condition = server->condition(now);
-        if (condition == upstream_condition::leaving || condition == upstream_condition::unresponsive)
+        if (!takes_requests(server->condition(now)))
             continue;
         if (purpose == placement_purpose::hedge && !accepts_hedges(*server, now))
             continue;
@@ -158,8 +157,7 @@
         const upstream* server = find(id);
         if (server == nullptr)
             continue;
-        const upstream_condition condition = server->condition(now);
-        if (condition == upstream_condition::leaving || condition == upstream_condition::unresponsive)
+        if (!takes_requests(server->condition(now)))
             continue;
         if (server->open_connections() == 0 && server->health().is_unreachable())
             continue;
@@ -184,8 +182,7 @@
         const upstream* server = find(id);
         if (server == nullptr || std::find(excluded.begin(), excluded.end(), id) != excluded.end())
             continue;
-        const upstream_condition condition = server->condition(now);
-        if (condition == upstream_condition::leaving || condition == upstream_condition::unresponsive)
+        if (!takes_requests(server->condition(now)))
             continue;
         if (server->open_connections() == 0 && server->health().is_unreachable())
             continue;
@@ -196,6 +193,23 @@
     return time_to_send(rates, now, set->waiting_in_time(now) + 1);
 }
 
+std::optional<duration> dispatcher::pause_wait(const replica_set_name& name) const {
+    const replica_set* set = set_of(name);
+    if (set == nullptr)
+        return std::nullopt;
+    const time_point now = timers_.now();
+    std::optional<duration> first;
+    for (const upstream_id& id : set->members) {
+        const upstream* server = find(id);
+        const auto condition = server == nullptr ? upstream_condition::leaving : server->condition(now);
+        if (takes_requests(condition))
+            return std::nullopt;
+        if (condition == upstream_condition::paused)
+            first = std::min(first.value_or(duration::max()), server->paused_until() - now);
+    }
+    return first;
+}
+
 std::optional<upstream_id> dispatcher::choose_server(const attempt_request& request) {
     const replica_set* set = set_of(request.set);
     if (set == nullptr)
@@ -210,7 +224,7 @@
             std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end())
             continue;
         const upstream_condition condition = server->condition(now);
-        if (condition == upstream_condition::leaving || condition == upstream_condition::unresponsive)
+        if (!takes_requests(condition))
             continue;
         if (request.purpose == placement_purpose::hedge && !accepts_hedges(*server, now))
             continue;
--- a/packages/core/upstreams/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -38,6 +38,7 @@
     duration idle_timeout{};      ///< how long the server keeps it open unused; zero if it did not state it
     rate_statement rate;          ///< the request rate that the server accepts
     bool is_leaving = false;      ///< whether the server states that it is leaving
+    pause_statement pause;        ///< the pause that the server asks for
 };
 
 /** Why an attempt is cancelled. */
@@ -86,6 +87,10 @@
      */
     [[nodiscard]] duration rate_wait(const replica_set_name& set,
                                      std::span<const upstream_id> excluded) const;
+    /** @return the time until the first of a set's servers ends its pause, if that is all that they lack. */
+    [[nodiscard]] std::optional<duration> pause_wait(const replica_set_name& set) const;
+    /** Sets the longest pause that a server may ask for. */
+    void set_max_pause(duration limit) { max_pause_ = limit; }
     /** @return a quantile of the reply times of a kind of work; nullopt while too few are known. */
     [[nodiscard]] std::optional<duration> latency_quantile(const work_class& work, double quantile) const;
 
@@ -156,6 +161,7 @@
     void note_rate(upstream& server, const attempt& sent, const attempt_result& result,
                    const rate_statement& rate);
     void note_stated_leaving(upstream& server);
+    void note_pause(upstream& server, const attempt& sent, const pause_statement& pause);
     void note_failure(upstream& server, std::string_view cause);
     void close_unused();
     void arm_unused_check();
@@ -175,6 +181,8 @@
     std::map<upstream_id, upstream> upstreams_;                    ///< by ID
     std::map<replica_set_name, replica_set> sets_;                 ///< by name
     std::map<upstream_id, std::vector<replica_set_name>> sets_of_; ///< the sets that each server belongs to
+    duration max_pause_ = std::chrono::minutes{5};                 ///< see set_max_pause()
+    std::map<upstream_id, timer_id> pause_ends_; ///< when waiting attempts may be sent to a server again
     std::map<upstream_id, time_point> stated_leaving_; ///< servers that said so, also removed ones, and when
     std::unordered_map<work_class, latency_profile> profiles_; ///< times of good replies, by kind of work
     std::unordered_map<attempt_id, attempt> attempts_;         ///< attempts waiting or in flight
--- a/packages/core/upstreams/dispatcher_results.cpp
+++ b/packages/core/upstreams/dispatcher_results.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 /** Interval of checks while requests are in flight. */
+/** After a pause, nodes wait for a random time up to this part of it, and up to this time. */
+constexpr int resume_spread_part = 8;
+constexpr duration max_resume_spread = std::chrono::milliseconds{500};
 constexpr duration response_check_period = std::chrono::milliseconds{50};
 /** Time for which it is remembered that a server stated that it leaves. */
 constexpr duration departure_retention = std::chrono::minutes{10};
@@ -33,6 +36,7 @@
     // Another server that uses the address now states this of itself.
     if (terms.is_leaving && (result || result.error().code != attempt_error::wrong_server))
         note_stated_leaving(server);
+    note_pause(server, attempts_.at(answered), terms.pause);
     const bool kept = terms.keeps_connection;
     // A reply to another request means that requests and replies on this connection no longer match.
     const bool matches = result || result.error().code != attempt_error::wrong_request;
@@ -80,6 +84,7 @@
             return;
         }
         const bool was_degraded = server.health().is_degraded(now);
+        server.on_good_reply();
         server.health().on_reply(now, sent.sent_at, took,
                                  latency_quantile(sent.request.work, median).value_or(duration{0}));
         constexpr double fastest = 0.1;
@@ -158,6 +163,31 @@
     note_leaving(server.id(), server.incarnation());
 }
 
+void dispatcher::note_pause(upstream& server, const attempt& sent, const pause_statement& pause) {
+    if (!pause.is_readable)
+        ++counts_.counter("pauses_unreadable");
+    if (pause.length.count() == 0)
+        return;
+    const time_point now = timers_.now();
+    if (pause.length > max_pause_)
+        ++counts_.counter("pauses_reduced");
+    const duration length = std::min(pause.length, max_pause_);
+    // Nodes do not all come back in the same instant.
+    const duration spread = std::min(max_resume_spread, length / resume_spread_part);
+    const auto late = static_cast<duration::rep>(random_() % static_cast<std::uint64_t>(spread.count() + 1));
+    server.pause(now, sent.sent_at, now + length + duration{late});
+    ++counts_.counter("pauses_asked");
+    log_.record(
+        event_kind::upstream_paused, {}, server.id().value(),
+        {{event_key::waited_ms, server.paused_until() - now}, {event_key::in_flight, server.in_flight()}});
+    if (const auto pending = pause_ends_.extract(server.id()); !pending.empty())
+        timers_.cancel(pending.mapped());
+    pause_ends_[server.id()] = timers_.schedule_at(server.paused_until(), [this, id = server.id()] {
+        pause_ends_.erase(id);
+        dispatch_waiting_for(id);
+    });
+}
+
 void dispatcher::note_failure(upstream& server, std::string_view cause) {
     const time_point now = timers_.now();
     const bool was_degraded = server.health().is_degraded(now);
--- a/packages/core/upstreams/rate_limit.h
+++ b/packages/core/upstreams/rate_limit.h
@@ -16,6 +16,12 @@
     bool is_readable = true;          ///< false if a rate is stated but is not a valid number
 };
 
+/** What a reply states about a pause that its server wants. */
+struct pause_statement {
+    duration length{0};      ///< for which the server wants no request; zero for no pause
+    bool is_readable = true; ///< false if a pause is stated but is not a valid number
+};
+
 /** What changed with a statement. */
 enum class rate_change : std::uint8_t {
     none,   ///< nothing, or so little that it is not worth a log line
--- a/packages/core/upstreams/upstream.cpp
+++ b/packages/core/upstreams/upstream.cpp
@@ -39,6 +39,12 @@
     return was_leaving;
 }
 
+void upstream::pause(time_point now, time_point sent, time_point until) {
+    paused_until_ = sent >= pause_stated_at_ ? until : std::max(paused_until_, until);
+    pause_stated_at_ = now;
+    resumes_ = true;
+}
+
 std::vector<request_in_flight> upstream::take_unresponsive_requests(time_point now) {
     std::vector<request_in_flight> unresponsive;
     for (request_in_flight& it : in_flight_) {
@@ -54,6 +60,8 @@
 upstream_condition upstream::condition(time_point now) const {
     if (leaving_)
         return upstream_condition::leaving;
+    if (now < paused_until_)
+        return upstream_condition::paused;
     bool late = false;
     for (const request_in_flight& it : in_flight_) {
         if (it.sent < ignored_before_)
@@ -83,7 +91,8 @@
 }
 
 std::optional<connection_id> upstream::connection_for_request(time_point now) const {
-    if (!rate_.may_send(now))
+    const bool has_trial = !in_flight_.empty() && in_flight_.back().sent >= paused_until_;
+    if (!rate_.may_send(now) || (resumes_ && has_trial))
         return std::nullopt;
     const auto working =
         std::count_if(in_flight_.begin(), in_flight_.end(),
--- a/packages/core/upstreams/upstream.h
+++ b/packages/core/upstreams/upstream.h
@@ -39,8 +39,14 @@
     degraded,     ///< slow, failing, shedding or late: used if no ready server is left, or for a trial
     unresponsive, ///< no reply for so long that it counts as lost until a new connection is established
     leaving,      ///< it announced that it drains, or was removed
+    paused,       ///< it asked for a pause
 };
 
+/** @return whether a server in this condition is sent requests. */
+[[nodiscard]] constexpr bool takes_requests(upstream_condition it) {
+    return it == upstream_condition::ready || it == upstream_condition::degraded;
+}
+
 /** A request that was sent to a server and has not been answered. */
 struct request_in_flight {
     attempt_id attempt;                 ///< the attempt that sent it
@@ -87,11 +93,22 @@
     /** @return the incarnation last recorded; empty for none. */
     [[nodiscard]] const std::string& incarnation() const noexcept { return incarnation_; }
 
+    /**
+     * Records that the server wants no request for a while. A statement replaces an earlier one if it answers
+     * a request that was sent after that; otherwise the longer pause holds.
+     * @param sent when the request was sent
+     */
+    void pause(time_point now, time_point sent, time_point until);
+    /** @return when the last pause that it asked for ends. */
+    [[nodiscard]] time_point paused_until() const noexcept { return paused_until_; }
+
     [[nodiscard]] upstream_condition condition(time_point now) const;
     /** @return whether a request to it became unresponsive and it has replied to none since. */
     [[nodiscard]] bool is_silent() const noexcept { return silent_; }
     /** Records a reply of any kind. */
     void on_reply() { silent_ = false; }
+    /** Records a good reply, which ends the caution after a pause. */
+    void on_good_reply() { resumes_ = false; }
     /** @return whether a request sent now would be the single trial of a slow or failing server. */
     [[nodiscard]] bool is_trial_due(time_point now) const;
 
@@ -154,6 +171,9 @@
     bool leaving_ = false;                      ///< see is_leaving()
     std::string incarnation_;                   ///< see incarnation()
     bool silent_ = false;                       ///< see is_silent()
+    time_point paused_until_{};                 ///< see paused_until()
+    time_point pause_stated_at_{};              ///< when the last pause was stated
+    bool resumes_ = false;                      ///< after a pause, until a good reply: one request at a time
     time_point ignored_before_{};               ///< see ignore_earlier_requests()
     std::vector<connection_state> connections_; ///< connections open or being opened
     std::vector<request_in_flight> in_flight_;  ///< unanswered requests, oldest first
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -55,6 +55,7 @@
     };
     codec.read_rate = read_rate_statement;
     codec.states_leaving = states_leaving;
+    codec.read_pause = read_pause_statement;
     return codec;
 }
 
@@ -97,6 +98,7 @@
            {"/status", {"application/json", [this] { return status() + "\n"; }}},
            {"/timeline", {"application/json", [this] { return encode_events(settings_.name, log_) + "\n"; }}},
            {"/healthz", {"application/json", [] { return std::string{"{\"healthy\":true}\n"}; }}}}} {
+    servers_.set_max_pause(settings_.max_pause);
     network_ = std::make_unique<upstream_network>(poller_, clock_.timers(), servers_, make_codec());
     if (settings_.interface == interface_kind::routes) {
         add_watcher(object_kind::routes, routes_min_interval);
--- a/packages/net/upstream_network.cpp
+++ b/packages/net/upstream_network.cpp
@@ -86,7 +86,7 @@
     const auto found = links_.find(id);
     const bool keep_alive = reply.keep_alive;
     const reply_terms terms{keep_alive, idle_limit_of(reply), codec_.read_rate(reply),
-                            codec_.states_leaving(reply)};
+                            codec_.states_leaving(reply), codec_.read_pause(reply)};
     const attempt_request request = std::exchange(found->second.request, {});
     if (!keep_alive)
         close(id);
--- a/packages/net/upstream_network.h
+++ b/packages/net/upstream_network.h
@@ -20,6 +20,8 @@
     std::function<attempt_result(const attempt_request&, reply_message)> decode;
     /** @return the request rate that a reply states for its server. */
     std::function<rate_statement(const reply_message&)> read_rate;
+    /** @return the pause that a reply asks for on behalf of its server. */
+    std::function<pause_statement(const reply_message&)> read_pause;
     /** @return whether a reply states that its server is leaving. */
     std::function<bool(const reply_message&)> states_leaving;
 };
--- a/tests/support/fake_network.h
+++ b/tests/support/fake_network.h
@@ -88,6 +88,12 @@
         servers_.on_answered(id, std::move(result), {kept, {}, rate});
     }
 
+    /** Refuses a request with a reply that asks for a pause. */
+    void answer_paused(connection_id id, duration pause) {
+        requests_.erase(id);
+        servers_.on_answered(id, tl::unexpected{attempt_failure{attempt_error::shed, pause}},
+                             {true, {}, {}, false, {pause, true}});
+    }
     /** Answers a request with a reply that states that its server is leaving. */
     void answer_leaving(connection_id id, attempt_result result) {
         requests_.erase(id);
