Add: the soak stops nodes in series under kept connections, and plays servers that cut heads, pause or state that they leave

Cause: the soak shared the code's belief: its callers asked only nodes in rotation, so nothing came late to a stopping node; it had no holders, so no node relied on another one to watch the store; its servers stated nothing of themselves. Change: all nodes but one stopped 0.7 s apart; a quarter of the requests over any open connection; all nodes used when fewer than half are in rotation; servers that cut a head short, ask for a pause of the fault's length, or state that they leave while their entry reads ready (the process ends afterwards); routes with 6 connections on seeds that three divides. A reload waits until the process handles or ignores the signal, as a stop does. The new kinds change what earlier seeds draw. Ruled out as part of it: odd entries (the stand-in's store parses what it holds), a restore of the store.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -16,6 +16,7 @@
 constexpr message_limits reply_limits{std::size_t{64} * 1024, std::size_t{1024} * 1024};
 constexpr duration restart_time =
     std::chrono::seconds{2}; ///< for a process to be restarted by its supervisor loop in tools/soak
+constexpr duration stop_gap = std::chrono::milliseconds{700}; ///< between two nodes that are stopped in turn
 constexpr duration link_delay = std::chrono::milliseconds{60};
 constexpr duration control_retry_delay =
     std::chrono::milliseconds{100}; ///< before a failed control call is retried
@@ -114,6 +115,18 @@
     });
 }
 
+void fault_injector::reload_node(std::uint32_t node) {
+    const std::string process = node_process(node);
+    const int pid = pid_of(process);
+    // The kernel ends a process that is still being loaded, see stop_node().
+    if (pid > 1 && !has_handler(pid, SIGHUP) && !ignores(pid, SIGHUP)) {
+        timers_.schedule_after(handler_poll_interval, [this, node] { reload_node(node); });
+        return;
+    }
+    record_disturbance(node, duration{0}, true);
+    signal(process, SIGHUP);
+}
+
 void fault_injector::set_mode(std::vector<std::unique_ptr<link_proxy>>& links, std::size_t first,
                               std::size_t step, link_mode mode, duration length) {
     for (std::size_t n = first; n < links.size(); n += step) {
@@ -151,9 +164,13 @@
     case fault_kind::node_stopped:
         stop_node(it.target);
         break;
+    case fault_kind::nodes_stopped:
+        for (std::uint32_t n = 0; n + 1 < config_.nodes; ++n)
+            timers_.schedule_after(stop_gap * n,
+                                   [this, node = (it.target + 1 + n) % config_.nodes] { stop_node(node); });
+        break;
     case fault_kind::node_reloaded:
-        record_disturbance(it.target, duration{0}, true);
-        signal(process, SIGHUP);
+        reload_node(it.target);
         break;
     case fault_kind::callers_delayed:
         record_disturbance(it.target, it.length, false);
@@ -193,6 +210,17 @@
     case fault_kind::servers_misanswering:
         set_server_fault(it, "wrong_request=1", "wrong_request=0");
         break;
+    case fault_kind::servers_cutting_heads:
+        set_server_fault(it, "cut_head=1", "cut_head=0");
+        break;
+    case fault_kind::servers_pausing:
+        set_server_fault(it, "shedding=1&pause_ms=" + std::to_string(to_milliseconds(it.length)),
+                         "shedding=0&pause_ms=20");
+        break;
+    case fault_kind::servers_leaving:
+        call(config_.control_address(it.target), "/set?states_leaving=1");
+        timers_.schedule_after(it.length, [this, process] { signal(process, SIGKILL); });
+        break;
     case fault_kind::servers_slow:
         set_server_fault(it, "service_us=40000", "service_us=4000");
         break;
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -45,6 +45,7 @@
     void inject_store_fault(const planned_fault& it);
     void pause(const std::string& process, duration length);
     void stop_node(std::uint32_t node);
+    void reload_node(std::uint32_t node);
     void set_server_fault(const planned_fault& it, const std::string& on, const std::string& off);
     void set_mode(std::vector<std::unique_ptr<link_proxy>>& links, std::size_t first, std::size_t step,
                   link_mode mode, duration length);
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -9,12 +9,15 @@
 namespace {
 
 constexpr std::array<std::string_view, fault_kinds> names{
-    "node_paused",         "node_killed",          "node_stopped",    "node_reloaded",  "all_nodes_killed",
-    "servers_paused",      "servers_killed",       "servers_drained", "servers_frozen", "servers_shedding",
-    "servers_dropping",    "servers_misanswering", "servers_slow",    "servers_silent", "servers_reset",
-    "servers_cut",         "callers_delayed",      "callers_reset",   "store_link_cut", "store_link_one_way",
-    "store_link_delayed",  "store_link_silent",    "store_paused",    "store_down",     "store_silent",
-    "store_loses_replies", "store_loses_calls",    "store_forgets",   "version_written"};
+    "node_paused",          "node_killed",           "node_stopped",      "nodes_stopped",
+    "node_reloaded",        "all_nodes_killed",      "servers_paused",    "servers_killed",
+    "servers_drained",      "servers_frozen",        "servers_shedding",  "servers_dropping",
+    "servers_misanswering", "servers_cutting_heads", "servers_pausing",   "servers_leaving",
+    "servers_slow",         "servers_silent",        "servers_reset",     "servers_cut",
+    "callers_delayed",      "callers_reset",         "store_link_cut",    "store_link_one_way",
+    "store_link_delayed",   "store_link_silent",     "store_paused",      "store_down",
+    "store_silent",         "store_loses_replies",   "store_loses_calls", "store_forgets",
+    "version_written"};
 
 constexpr std::uint64_t mean_gap_ms = 700; ///< between the starts of faults, or of series of faults
 constexpr std::uint64_t min_length_ms = 100;
--- a/soak/load_generator.cpp
+++ b/soak/load_generator.cpp
@@ -3,6 +3,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr message_limits reply_limits{std::size_t{64} * 1024, std::size_t{1024} * 1024};
+constexpr std::uint64_t kept_connection_one_in = 4; ///< requests that use any open connection
 constexpr duration caller_timeout_slack =
     std::chrono::seconds{3}; ///< after the request's time-out, before the caller closes the connection
 
@@ -99,6 +101,11 @@
 void load_generator::send_one() {
     const std::size_t record = records_.size();
     records_.push_back(make_record());
+    // Some callers go on using an open connection, whatever the load balancer thinks of its node.
+    if (!idle_.empty() && random_() % kept_connection_one_in == 0) {
+        const auto kept = std::next(idle_.begin(), static_cast<std::ptrdiff_t>(random_() % idle_.size()));
+        records_.back().node = kept->first;
+    }
     const std::uint32_t node = records_.back().node;
     if (const auto kept = idle_.find(node); kept != idle_.end()) {
         const connection_key key = kept->second;
--- a/soak/operator_client.cpp
+++ b/soak/operator_client.cpp
@@ -15,7 +15,6 @@
 constexpr duration retry_delay = std::chrono::milliseconds{100};
 constexpr unsigned created = 201;
 constexpr unsigned conflict = 409;
-constexpr std::uint32_t max_connections = 16; ///< to one server
 
 void write_route(json_writer& out, route_kind kind, std::uint64_t version) {
     namespace wire = wire_names;
@@ -31,7 +30,8 @@
 
 } // namespace
 
-std::string routes_object(const route_version& version, std::uint64_t revision) {
+std::string routes_object(const route_version& version, std::uint64_t revision,
+                          std::uint32_t max_connections) {
     namespace wire = wire_names;
     json_writer out;
     out.begin_object().name(wire::meta).begin_object().member(wire::name, wire::routes_name);
@@ -82,7 +82,8 @@
                             {},
                             false};
     outgoing_request out;
-    out.body = std::make_shared<const std::string>(routes_object(versions_.back(), 0));
+    out.body =
+        std::make_shared<const std::string>(routes_object(versions_.back(), 0, config_.max_connections()));
     append_request_header(out.header, message, out.body->size());
     out.header += "\r\n";
     client_connection_hooks hooks;
--- a/soak/process_func.cpp
+++ b/soak/process_func.cpp
@@ -7,9 +7,11 @@
 
 namespace pollengrade {
 
-bool has_handler(int pid, int signal_number) {
+namespace {
+
+/** @return whether a signal is in a mask of a process's status. */
+bool is_in_mask(int pid, const std::string& key, int signal_number) {
     constexpr int base = 16;
-    const std::string key = "SigCgt:";
     std::ifstream status{"/proc/" + std::to_string(pid) + "/status"};
     for (std::string line; std::getline(status, line);) {
         if (!line.starts_with(key))
@@ -20,4 +22,14 @@
     return false;
 }
 
+} // namespace
+
+bool has_handler(int pid, int signal_number) {
+    return is_in_mask(pid, "SigCgt:", signal_number);
+}
+
+bool ignores(int pid, int signal_number) {
+    return is_in_mask(pid, "SigIgn:", signal_number);
+}
+
 } // namespace pollengrade
--- a/soak/process_func.h
+++ b/soak/process_func.h
@@ -8,5 +8,7 @@
  * has installed its handlers, a signal such as SIGTERM terminates it immediately.
  */
 [[nodiscard]] bool has_handler(int pid, int signal_number);
+/** @return whether a process ignores a signal. */
+[[nodiscard]] bool ignores(int pid, int signal_number);
 
 } // namespace pollengrade
--- a/soak/readiness_checker.cpp
+++ b/soak/readiness_checker.cpp
@@ -61,9 +61,11 @@
 
 std::uint32_t readiness_checker::pick_node(const std::function<std::uint64_t()>& random) const {
     const std::size_t ready = count();
-    std::uint64_t left = random() % (ready == 0 ? nodes_.size() : ready);
+    // As the users' load balancer does: if fewer than half are in rotation, all are used.
+    const bool uses_all = ready * 2 < nodes_.size();
+    std::uint64_t left = random() % (uses_all ? nodes_.size() : ready);
     for (std::uint32_t n = 0; n < nodes_.size(); ++n) {
-        if (ready > 0 && nodes_[n].failures > max_failures)
+        if (!uses_all && nodes_[n].failures > max_failures)
             continue;
         if (left-- == 0)
             return n;
--- a/soak/routes_text.h
+++ b/soak/routes_text.h
@@ -31,7 +31,12 @@
     return "/v" + std::to_string(version) + "/";
 }
 
-/** @return the JSON object of a version. @param revision of the object that it replaces; 0 leaves it out */
-[[nodiscard]] std::string routes_object(const route_version& version, std::uint64_t revision);
+/**
+ * @param revision of the object that it replaces; 0 leaves it out
+ * @param max_connections that each server accepts from all nodes
+ * @return the JSON object of a version
+ */
+[[nodiscard]] std::string routes_object(const route_version& version, std::uint64_t revision,
+                                        std::uint32_t max_connections);
 
 } // namespace pollengrade
--- a/soak/soak_type.h
+++ b/soak/soak_type.h
@@ -19,6 +19,13 @@
     duration fault_duration{};  ///< how long faults are injected
     std::string directory;      ///< holds process IDs and logs
 
+    /** @return connections to each server that the routes allow; with few of them, nodes have holders. */
+    [[nodiscard]] std::uint32_t max_connections() const {
+        constexpr std::uint32_t many = 16;
+        constexpr std::uint32_t few = 6;
+        constexpr std::uint64_t few_one_in = 3;
+        return seed % few_one_in == 0 ? few : many;
+    }
     [[nodiscard]] std::string host(std::uint32_t third, std::uint32_t last) const {
         return "127." + std::to_string(net) + "." + std::to_string(third) + "." + std::to_string(last);
     }
--- a/standins/standin_upstreams.cpp
+++ b/standins/standin_upstreams.cpp
@@ -183,14 +183,17 @@
             {"service_us", &behaviour.service_us},
             {"straggle_per_mille", &behaviour.straggle_per_mille},
             {"straggle_ms", &behaviour.straggle_ms},
-            {"cold_ms", &behaviour.cold_ms}};
+            {"cold_ms", &behaviour.cold_ms},
+            {"pause_ms", &behaviour.pause_ms}};
         const std::map<std::string, bool*> switches{{"frozen", &behaviour.frozen},
                                                     {"draining", &behaviour.draining},
                                                     {"shedding", &behaviour.shedding},
                                                     {"drop_after_run", &behaviour.drop_after_run},
                                                     {"truncate", &behaviour.truncate},
                                                     {"wrong_request", &behaviour.wrong_request},
-                                                    {"wrong_version", &behaviour.wrong_version}};
+                                                    {"wrong_version", &behaviour.wrong_version},
+                                                    {"cut_head", &behaviour.cut_head},
+                                                    {"states_leaving", &behaviour.states_leaving}};
         if (const auto found = counts.find(name); found != counts.end()) {
             *found->second = count;
         } else if (const auto flag = switches.find(name); flag != switches.end()) {
--- a/standins/upstream_server.cpp
+++ b/standins/upstream_server.cpp
@@ -55,10 +55,13 @@
     soup_server_message_set_status(message, SOUP_STATUS_SERVICE_UNAVAILABLE, nullptr);
 }
 
-void refuse_forwarded(SoupServerMessage* message, unsigned status) {
+constexpr std::string_view half_head = "HTTP/1.1 200 OK\r\nContent-Length: 32\r\nX-Ser";
+constexpr double milliseconds_per_second = 1000;
+
+void refuse_forwarded(SoupServerMessage* message, unsigned status, double pause_s) {
     SoupMessageHeaders* headers = soup_server_message_get_response_headers(message);
     soup_message_headers_replace(headers, wire_names::not_run, "1");
-    soup_message_headers_replace(headers, wire_names::retry_after, "0.02");
+    soup_message_headers_replace(headers, wire_names::retry_after, std::to_string(pause_s).c_str());
     soup_server_message_set_status(message, status, nullptr);
 }
 
@@ -264,12 +267,16 @@
         soup_server_message_pause(message);
         return;
     }
+    if (behaviour_.states_leaving)
+        soup_message_headers_replace(soup_server_message_get_response_headers(message),
+                                     wire_names::server_leaving, "1");
     const bool is_intended = header(message, wire_names::expected_server) == names_->server;
     const bool is_full = running_ >= behaviour_.slots && waiting_.size() >= behaviour_.queue;
     if (!is_intended || behaviour_.shedding || is_full) {
         counts_.shed += is_intended ? 1 : 0;
         refuse_forwarded(message,
-                         is_intended ? SOUP_STATUS_SERVICE_UNAVAILABLE : SOUP_STATUS_MISDIRECTED_REQUEST);
+                         is_intended ? SOUP_STATUS_SERVICE_UNAVAILABLE : SOUP_STATUS_MISDIRECTED_REQUEST,
+                         behaviour_.pause_ms / milliseconds_per_second);
         return;
     }
     auto it = std::make_shared<work>();
@@ -334,8 +341,11 @@
     it.running = false;
     --running_;
     ++counts_.finished;
-    if (behaviour_.drop_after_run) {
+    if (behaviour_.drop_after_run || behaviour_.cut_head) {
         const gobject_ptr<GIOStream> stream{soup_server_message_steal_connection(it.message)};
+        if (behaviour_.cut_head)
+            g_output_stream_write_all(g_io_stream_get_output_stream(stream.get()), half_head.data(),
+                                      half_head.size(), nullptr, nullptr, nullptr);
         g_io_stream_close(stream.get(), nullptr, nullptr);
     } else if (names_) {
         complete_forwarded(it);
--- a/standins/upstream_server.h
+++ b/standins/upstream_server.h
@@ -36,6 +36,9 @@
     bool truncate = false;       ///< sends only the first half of the JSON
     bool wrong_request = false;  ///< replies with the ID of another request
     bool wrong_version = false;  ///< replies with another index version
+    bool cut_head = false;       ///< runs the request, then sends half of a reply's head and closes
+    bool states_leaving = false; ///< states in each reply that it leaves, though its entry reads ready
+    std::uint32_t pause_ms = 20; ///< pause that a refusal because of overload asks for
     std::set<std::uint64_t> versions{1}; ///< index versions held
 };
 
