Add: soak runs of planned work alone, with slow requests; a node without a process is not stopped

Cause: with faults of all kinds hardly any moment is calm enough for "nothing lost by a stop", and with 4 ms a request a stopping node is soon idle, so the soak did not find the stop that cut requests. And the soak ended itself: a stop drawn for a node that had no process noted process 0; after the grace time kill(0, 0) succeeded, and kill(0, SIGKILL) ended the soak's own process group (seen on seed 5, exit 137, no verdict).

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -98,7 +98,11 @@
 void fault_injector::stop_node(std::uint32_t node) {
     const std::string process = node_process(node);
     const int pid = pid_of(process);
-    if (pid > 1 && !has_handler(pid, SIGTERM)) {
+    if (pid <= 1) {
+        std::cout << process << " is not running: cannot be stopped\n";
+        return;
+    }
+    if (!has_handler(pid, SIGTERM)) {
         // The process has just been started and has no handler yet: the signal would terminate it
         // immediately, so the stop is retried later.
         timers_.schedule_after(handler_poll_interval, [this, node] { stop_node(node); });
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -19,6 +19,10 @@
     "store_silent",         "store_loses_replies",   "store_loses_calls", "store_forgets",
     "version_written"};
 
+/** What operators and the platform do on a calm day; only then is it certain what a stop may cut off. */
+constexpr std::array planned_kinds{fault_kind::node_stopped, fault_kind::nodes_stopped,
+                                   fault_kind::node_reloaded, fault_kind::version_written};
+
 constexpr std::uint64_t mean_gap_ms = 700; ///< between the starts of faults, or of series of faults
 constexpr std::uint64_t min_length_ms = 100;
 constexpr std::uint64_t max_length_ms = 3000;
@@ -41,8 +45,11 @@
     duration at = random_ms(mean_gap_ms);
     while (at < config.fault_duration) {
         planned_fault it;
-        it.kind = random() % versions_one_in == 0 ? fault_kind::version_written
-                                                  : static_cast<fault_kind>(random() % fault_kinds);
+        if (config.is_planned_only())
+            it.kind = planned_kinds.at(random() % planned_kinds.size());
+        else
+            it.kind = random() % versions_one_in == 0 ? fault_kind::version_written
+                                                      : static_cast<fault_kind>(random() % fault_kinds);
         const bool affects_servers =
             it.kind >= fault_kind::servers_paused && it.kind <= fault_kind::servers_cut;
         it.target = static_cast<std::uint32_t>(random() % (affects_servers ? config.replicas : config.nodes));
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -148,7 +148,8 @@
     config.fault_duration = std::chrono::seconds{flags["seconds"].as<std::uint32_t>()};
     config.directory = flags["directory"].as<std::string>();
     loop_clock clock;
-    soak_run soak{clock, config, flags["rate"].as<double>(), config.seed % 2 == 0};
+    soak_run soak{clock, config, flags["rate"].as<double>(),
+                  config.seed % 2 == 0 && !config.is_planned_only()};
     if (!soak.play()) {
         std::cout << "the nodes did not become ready\n";
         return EXIT_FAILURE;
--- a/soak/soak_type.h
+++ b/soak/soak_type.h
@@ -26,6 +26,11 @@
         constexpr std::uint64_t few_one_in = 3;
         return seed % few_one_in == 0 ? few : many;
     }
+    /** @return whether only planned work is drawn. */
+    [[nodiscard]] bool is_planned_only() const {
+        constexpr std::uint64_t planned_one_in = 5;
+        return seed % planned_one_in == 0;
+    }
     [[nodiscard]] std::string host(std::uint32_t third, std::uint32_t last) const {
         return "127." + std::to_string(net) + "." + std::to_string(third) + "." + std::to_string(last);
     }
--- a/standins/standin_upstreams.cpp
+++ b/standins/standin_upstreams.cpp
@@ -263,6 +263,9 @@
         "connections", "connection limit per server", cxxopts::value<std::uint32_t>()->default_value("25"))(
         "connect-ms", "delay of a new connection", cxxopts::value<std::uint32_t>()->default_value("0"))(
         "service-us", "mean duration of a request", cxxopts::value<std::uint32_t>()->default_value("2000"))(
+        "straggle-per-mille", "share of slow requests, in thousandths",
+        cxxopts::value<std::uint32_t>()->default_value("0"))(
+        "straggle-ms", "duration of a slow request", cxxopts::value<std::uint32_t>()->default_value("0"))(
         "rows", "rows in a reply", cxxopts::value<std::uint32_t>()->default_value("3"))(
         "seed", "random seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "first-replica", "first replica served by this process",
@@ -290,6 +293,8 @@
     behaviour.connections = flags["connections"].as<std::uint32_t>();
     behaviour.connect_ms = flags["connect-ms"].as<std::uint32_t>();
     behaviour.service_us = flags["service-us"].as<std::uint32_t>();
+    behaviour.straggle_per_mille = flags["straggle-per-mille"].as<std::uint32_t>();
+    behaviour.straggle_ms = flags["straggle-ms"].as<std::uint32_t>();
     behaviour.rows = flags["rows"].as<std::uint32_t>();
     loop_clock clock;
     standin_upstreams upstreams{clock, seeded_random(flags["seed"].as<std::uint64_t>())};
