--- a/packages/core/upstreams/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -38,7 +38,7 @@
     duration idle_timeout{};      ///< how long the server keeps it open unused; zero if it did not state it
     rate_statement rate;          ///< the request rate that the server accepts
     bool is_leaving = false;      ///< whether the server states that it is leaving
-    pause_statement pause;        ///< the pause that the server asks for
+    pause_statement pause{};      ///< the pause that the server asks for
 };
 
 /** Why an attempt is cancelled. */
--- a/tests/core/cluster/store_freshness_test.cpp
+++ b/tests/core/cluster/store_freshness_test.cpp
@@ -26,91 +26,88 @@
 constexpr duration one_way = milliseconds{2};
 
 /** Nodes of which the first ones watch the store, and a store that is silent to some of them. */
-class fleet {
-public:
-    fleet(std::size_t nodes, std::size_t watchers) : watchers_{watchers}, silent_(nodes, false) {
-        for (std::size_t n = 0; n < nodes; ++n) {
-            nodes_.push_back(std::make_unique<store_freshness>(timers, log, counts, seeded_random(n + 1),
-                                                               apply_limit, hooks_of(n)));
-            nodes_.back()->set_needed(true);
+struct fleet {
+    fleet(std::size_t node_count, std::size_t watcher_count)
+        : watchers{watcher_count}, silent(node_count, false) {
+        for (std::size_t n = 0; n < node_count; ++n) {
+            nodes.push_back(std::make_unique<store_freshness>(timers, log, counts, seeded_random(n + 1),
+                                                              apply_limit, hooks_of(n)));
+            nodes.back()->set_needed(true);
         }
     }
 
     void silence(std::size_t from, std::size_t to, bool is_silent) {
-        std::fill(silent_.begin() + static_cast<std::ptrdiff_t>(from),
-                  silent_.begin() + static_cast<std::ptrdiff_t>(to), is_silent);
+        std::fill(silent.begin() + static_cast<std::ptrdiff_t>(from),
+                  silent.begin() + static_cast<std::ptrdiff_t>(to), is_silent);
     }
     /** Nodes probe a random other one each second, as membership does. */
     void run(duration span) {
         const time_point end = timers.now() + span;
         while (timers.now() < end) {
             timers.advance_to(timers.now() + milliseconds{100});
-            for (std::size_t n = 0; n < nodes_.size(); ++n) {
-                if (random_() % 10 == 0)
-                    ask(n, random_() % nodes_.size());
+            for (std::size_t n = 0; n < nodes.size(); ++n) {
+                if (random() % 10 == 0)
+                    ask(n, random() % nodes.size());
             }
-            for (std::size_t n = 0; n < nodes_.size(); ++n) {
-                if (!silent_[n])
-                    oldest = std::max(oldest, nodes_[n]->age().value_or(duration{0}));
+            for (std::size_t n = 0; n < nodes.size(); ++n) {
+                if (!silent[n])
+                    oldest = std::max(oldest, nodes[n]->age().value_or(duration{0}));
             }
         }
     }
     [[nodiscard]] std::size_t acting() const {
         return static_cast<std::size_t>(
-            std::count_if(nodes_.begin(), nodes_.end(), [](const auto& it) { return it->is_acting(); }));
+            std::count_if(nodes.begin(), nodes.end(), [](const auto& it) { return it->is_acting(); }));
     }
 
     timer_queue timers = paused_clock();
     event_log log{[] { return paused_wall_time; }};
     metrics counts;
     std::size_t store_checks = 0; ///< checks that all nodes have sent to the store
-    std::size_t watcher_asks = 0; ///< gossip sent to watchers for their confirmation
     duration oldest{0};           ///< greatest age of a confirmation at the nodes that the store answers
 
-private:
     freshness_hooks hooks_of(std::size_t n) {
         freshness_hooks it;
-        it.watcher_rank = [this, n] { return n < watchers_ ? std::optional{n} : std::nullopt; };
-        it.node_count = [this] { return nodes_.size(); };
+        it.watcher_rank = [this, n] { return n < watchers ? std::optional{n} : std::nullopt; };
+        it.node_count = [this] { return nodes.size(); };
         it.ask_watcher = [this, n](std::uint32_t asked_before) {
-            ++watcher_asks;
-            ask(n, n < watchers_ ? (n == 0 ? 1 : asked_before % 2 % n) : (n + asked_before) % watchers_);
+            ask(n, n < watchers ? (n == 0 ? 1 : asked_before % 2 % n) : (n + asked_before) % watchers);
         };
         it.ask = [this, n](const node_address& to) { ask(n, std::stoul(to.value())); };
         it.tell_watchers = [this, n] {
-            for (std::size_t to = 0; to < watchers_; ++to)
+            for (std::size_t to = 0; to < watchers; ++to)
                 ask(n, to);
         };
         it.check_store = [this, n] {
             ++store_checks;
-            if (silent_[n])
+            if (silent[n])
                 return;
             timers.schedule_after(
-                store_delay, [this, n, asked_at = timers.now()] { nodes_[n]->on_store_answer(asked_at); });
+                store_delay, [this, n, asked_at = timers.now()] { nodes[n]->on_store_answer(asked_at); });
         };
         it.became_acting = [] {};
         return it;
     }
 
     void ask(std::size_t from, std::size_t to) {
-        if (from == to || to >= nodes_.size())
+        if (from == to || to >= nodes.size())
             return;
         const time_point asked_at = timers.now();
-        timers.schedule_after(one_way, [this, from, to, asked_at, probed = nodes_[from]->age()] {
-            const auto age = nodes_[to]->age();
+        timers.schedule_after(one_way, [this, from, to, asked_at, probed = nodes[from]->age()] {
+            const auto age = nodes[to]->age();
             if (probed)
-                nodes_[to]->on_peer_probe(node_address{std::to_string(from)}, *probed);
+                nodes[to]->on_peer_probe(node_address{std::to_string(from)}, *probed);
             timers.schedule_after(one_way, [this, from, age, asked_at] {
                 if (age)
-                    nodes_[from]->on_peer_answer(asked_at, *age);
+                    nodes[from]->on_peer_answer(asked_at, *age);
             });
         });
     }
 
-    std::function<std::uint64_t()> random_ = seeded_random(7);
-    std::size_t watchers_;
-    std::vector<bool> silent_;
-    std::vector<std::unique_ptr<store_freshness>> nodes_;
+    std::function<std::uint64_t()> random = seeded_random(7);
+    std::size_t watchers;
+    std::vector<bool> silent;
+    std::vector<std::unique_ptr<store_freshness>> nodes;
 };
 
 } // namespace
@@ -131,7 +128,9 @@
 
 // CONFIG: nodes acted on old routes and servers for as long as the store was silent to the only watcher.
 TEST_CASE("freshness: a store that is silent to every watcher is noticed in half of the time for changes") {
-    for (const auto& [nodes, watchers] : std::map<std::size_t, std::size_t>{{4, 1}, {6, 2}, {75, 6}}) {
+    for (const auto& sizes : std::map<std::size_t, std::size_t>{{4, 1}, {6, 2}, {75, 6}}) {
+        const std::size_t nodes = sizes.first;
+        const std::size_t watchers = sizes.second;
         fleet it{nodes, watchers};
         it.run(seconds{5});
         it.silence(0, watchers, true);
