--- a/packages/core/cluster/member_type.h
+++ b/packages/core/cluster/member_type.h
@@ -4,14 +4,13 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
 #include <vector>
 
 #include "core/base/id_type.h"
-#include "core/base/time_type.h"
+#include "core/config/node_knowledge.h"
 
 namespace pollengrade {
 
@@ -56,14 +55,6 @@
     return std::tie(a.incarnation, a.state) > std::tie(b.incarnation, b.state);
 }
 
-/** How current what a node knows is; what counts of it depends on what the receiver knows. */
-struct node_knowledge {
-    std::uint64_t config_digest = 0; ///< digest of the node's configuration
-    object_version registry_changed; ///< the latest change of a server's entry that the node knows
-    /** Age of the store's newest confirmation of what the node knows; nullopt if it has none. */
-    std::optional<duration> confirmation_age;
-};
-
 /** Payload of a probe and of its reply; bounded in size. */
 struct gossip_message {
     member sender;                ///< the sending node
--- a/packages/core/queries/delegation.h
+++ b/packages/core/queries/delegation.h
@@ -14,7 +14,7 @@
 #include "core/base/latency_profile.h"
 #include "core/base/metrics.h"
 #include "core/base/timer_queue.h"
-#include "core/cluster/member_type.h"
+#include "core/config/node_knowledge.h"
 #include "core/queries/forward_type.h"
 #include "core/queries/run_id.h"
 #include "core/upstreams/attempt_type.h"
--- a/packages/peer/peer.capnp
+++ b/packages/peer/peer.capnp
@@ -16,7 +16,7 @@
   capacity @7 :UInt32;      # thousandths of a core
 }
 
-# How current what a node knows is: core/cluster/member_type.h.
+# How current what a node knows is: core/config/node_knowledge.h.
 struct Knowledge {
   configDigest @0 :UInt64;
   registryChanged @1 :UInt64; # registry revision of the latest server entry change known to the sender
