Add: log lines that tell how a node learned that a server leaves, and a command that lists what was sent to it afterwards

Change: upstream_draining has its cause (entry, removal, reply, wrong_server), the age and the request whose reply said so; registry_entry_left tells whether the store or a peer said that an entry drains or is gone, and for how long a removal is doubted; shard_retried names the server; pollengradectl explain-server merges the lines of all nodes for one server. Reading of log files stands in ctl/log_files now. Ruled out: a line for each attempt, which at the design size is 11,000 a second a node.

--- a/packages/core/base/event_log.h
+++ b/packages/core/base/event_log.h
@@ -56,6 +56,7 @@
     routes_in_force,
     routes_rejected,
     registry_replaced,
+    registry_entry_left, ///< an entry reads draining, or is gone from the store
     entries_unreadable,
     store_confirmation_old, ///< no store watcher's confirmation came in time; this node checks the store
     store_watch_taken_over, ///< this node watches the store in place of the store watchers
--- a/packages/core/queries/gather.cpp
+++ b/packages/core/queries/gather.cpp
@@ -358,7 +358,10 @@
     ++context_.counts.counter(is_free ? "retries_not_run" : "retries_sent");
     context_.log.record(
         event_kind::shard_retried, plan_.request, plan_.targets[index].set.value(),
-        {{event_key::cause, to_string(code)}, {event_key::waited_ms, now - shards_[index].started}});
+        {{event_key::cause, to_string(code)},
+         {event_key::server,
+          context_.servers.server_of(shards_[index].live.back()).value_or(upstream_id{}).value()},
+         {event_key::waited_ms, now - shards_[index].started}});
     if (!shards_[index].hedge)
         arm_hedge(index);
     return true;
--- a/packages/core/upstreams/dispatcher.cpp
+++ b/packages/core/upstreams/dispatcher.cpp
@@ -71,7 +71,7 @@
     upstream* server = at(id);
     if (server == nullptr)
         return;
-    note_leaving(id, server->incarnation());
+    note_leaving(id, server->incarnation(), {leaving_source::removal});
     for (const replica_set_name& name : sets_of_[id])
         std::erase(sets_.at(name).members, id);
     sets_of_.erase(id);
@@ -90,11 +90,15 @@
     dispatch_waiting(name);
 }
 
-void dispatcher::note_leaving(const upstream_id& id, std::string_view incarnation) {
+void dispatcher::note_leaving(const upstream_id& id, std::string_view incarnation,
+                              const leaving_report& report) {
     upstream* server = at(id);
     if (server == nullptr || !server->mark_leaving(incarnation))
         return;
-    log_.record(event_kind::upstream_draining, {}, id.value(), {{event_key::in_flight, server->in_flight()}});
+    log_.record(event_kind::upstream_draining, report.request, id.value(),
+                {{event_key::cause, to_string(report.source)},
+                 {event_key::age_ms, report.age},
+                 {event_key::in_flight, server->in_flight()}});
     for (const connection_id it : server->idle_connections())
         drop_connection(*server, it);
     const auto names = sets_of_[id];
--- a/packages/core/upstreams/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -17,6 +17,7 @@
 #include "core/base/metrics.h"
 #include "core/base/timer_queue.h"
 #include "core/upstreams/attempt_type.h"
+#include "core/upstreams/leaving_type.h"
 #include "core/upstreams/replica_set.h"
 #include "core/upstreams/upstream.h"
 
@@ -71,7 +72,7 @@
     void set_members(const replica_set_name& set, std::vector<upstream_id> members,
                      std::uint32_t max_waiting);
     /** Records that a server is leaving, or is live; see upstream::mark_leaving() and mark_live(). */
-    void note_leaving(const upstream_id& id, std::string_view incarnation);
+    void note_leaving(const upstream_id& id, std::string_view incarnation, const leaving_report& report);
     void note_live(const upstream_id& id, std::string_view incarnation);
 
     /** @return whether an attempt submitted now would be sent, be queued or fail. */
@@ -160,7 +161,7 @@
     void note_result(upstream& server, const attempt& sent, const attempt_result& result);
     void note_rate(upstream& server, const attempt& sent, const attempt_result& result,
                    const rate_statement& rate);
-    void note_stated_leaving(upstream& server);
+    void note_stated_leaving(upstream& server, const request_id& request);
     void note_pause(upstream& server, const attempt& sent, const pause_statement& pause);
     void note_failure(upstream& server, std::string_view cause);
     void close_unused();
--- a/packages/core/upstreams/dispatcher_results.cpp
+++ b/packages/core/upstreams/dispatcher_results.cpp
@@ -35,7 +35,7 @@
     note_result(server, attempts_.at(answered), result);
     // Another server that uses the address now states this of itself.
     if (terms.is_leaving && (result || result.error().code != attempt_error::wrong_server))
-        note_stated_leaving(server);
+        note_stated_leaving(server, attempts_.at(answered).request.request);
     note_pause(server, attempts_.at(answered), terms.pause);
     const bool kept = terms.keeps_connection;
     // A reply to another request means that requests and replies on this connection no longer match.
@@ -101,7 +101,8 @@
         if (const auto* own = std::get_if<shard_reply>(&*result)) {
             server.mark_live(own->server_incarnation);
             if (own->server_draining)
-                note_leaving(server.id(), own->server_incarnation);
+                note_leaving(server.id(), own->server_incarnation,
+                             {leaving_source::reply, sent.request.request});
         }
         return;
     }
@@ -112,8 +113,10 @@
         server.health().on_shed(now, failure.retry_after);
         break;
     case attempt_error::draining:
+        note_leaving(server.id(), server.incarnation(), {leaving_source::reply, sent.request.request});
+        break;
     case attempt_error::wrong_server: // Another server uses the address now; the registry entry is outdated.
-        note_leaving(server.id(), server.incarnation());
+        note_leaving(server.id(), server.incarnation(), {leaving_source::wrong_server, sent.request.request});
         break;
     case attempt_error::not_sent:
     case attempt_error::version_absent:
@@ -150,7 +153,7 @@
     }
 }
 
-void dispatcher::note_stated_leaving(upstream& server) {
+void dispatcher::note_stated_leaving(upstream& server, const request_id& request) {
     const time_point now = timers_.now();
     if (!server.identity().instance.empty()) {
         std::erase_if(stated_leaving_,
@@ -160,7 +163,7 @@
     }
     if (!server.is_leaving())
         ++counts_.counter("servers_stated_leaving");
-    note_leaving(server.id(), server.incarnation());
+    note_leaving(server.id(), server.incarnation(), {leaving_source::reply, request});
 }
 
 void dispatcher::note_pause(upstream& server, const attempt& sent, const pause_statement& pause) {
--- a/packages/core/upstreams/registry.cpp
+++ b/packages/core/upstreams/registry.cpp
@@ -2,6 +2,7 @@
 #include "core/upstreams/registry.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <set>
 #include <utility>
@@ -15,6 +16,9 @@
 /** Time for which a removed server is remembered; a store's copy is some seconds old. */
 constexpr duration departure_retention = std::chrono::minutes{5};
 constexpr std::size_t max_departures = 4096; ///< the oldest are forgotten first
+constexpr std::string_view from_store = "store";
+constexpr std::string_view from_peer = "peer";
+constexpr std::string_view after_delay = "delay"; ///< a delayed removal that takes effect
 
 } // namespace
 
@@ -40,6 +44,7 @@
 void registry::replace(const object_list& list) {
     if (list.revision <= revision_)
         return;
+    source_ = from_store;
     const bool is_first = revision_ == object_version{};
     const bool is_restored = advance(list.revision);
     std::set<std::string> listed;
@@ -62,6 +67,7 @@
     // Changes of a later era do not continue the entries held: a list replaces these first.
     if (changes.revision <= revision_ || changes.revision.era() != revision_.era())
         return;
+    source_ = from_store;
     revision_ = changes.revision;
     for (const object_change& it : changes.changes) {
         changed_at_ = std::max(changed_at_, it.object.version);
@@ -83,6 +89,7 @@
 bool registry::take(const registry_update& other) {
     if (other.revision <= revision_)
         return false;
+    source_ = from_peer;
     const bool is_first = revision_ == object_version{};
     const bool is_restored = advance(other.revision);
     std::set<std::string> listed;
@@ -193,6 +200,10 @@
         if (is_restart)
             remove_now(entry.name);
     }
+    const bool leaves_now =
+        entry.is_leaving && (!entries_.contains(entry.name) || !entries_.at(entry.name).is_leaving);
+    if (leaves_now)
+        log_left(entry, entry_state::present, {});
     entries_[entry.name] = entry;
     note_change(entry, entry_state::present);
     changed_(entry, false);
@@ -247,8 +258,10 @@
         return;
     ++counts_.counter("removals_doubted");
     note_change(known->second, entry_state::removal_pending);
+    log_left(known->second, entry_state::removal_pending, until - timers_.now());
     const timer_id timer = timers_.schedule_at(until, [this, name] {
         pending_removals_.erase(name);
+        source_ = after_delay;
         remove_now(name);
     });
     pending_removals_[name] = {timer, until};
@@ -264,9 +277,19 @@
         return;
     note_change(node.mapped(), entry_state::removed);
     note_departure(node.mapped());
+    log_left(node.mapped(), entry_state::removed, {});
     changed_(node.mapped(), true);
 }
 
+void registry::log_left(const server_entry& entry, entry_state state, duration delay) {
+    constexpr std::array<std::string_view, 3> names{"draining", "removal_pending", "removed"};
+    log_.record(event_kind::registry_entry_left, {}, id_of(entry).value(),
+                {{event_key::from, source_},
+                 {event_key::state, names.at(static_cast<std::size_t>(state))},
+                 {event_key::revision, revision_.value()},
+                 {event_key::waited_ms, delay}});
+}
+
 void registry::note_unreadable(const std::string& name, object_version version) {
     // A readable entry that becomes unreadable is kept, because its server may still run. An entry that was
     // never readable describes no server.
--- a/packages/core/upstreams/registry.h
+++ b/packages/core/upstreams/registry.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -113,6 +114,8 @@
     void remove_unlisted(const std::set<std::string>& listed);
     void clear_changes();
     void note_change(const server_entry& entry, entry_state state);
+    /** Logs that an entry reads draining or is gone. @param delay time until the removal takes effect */
+    void log_left(const server_entry& entry, entry_state state, duration delay);
     /** @return an entry or a change in the form sent to peers now. */
     [[nodiscard]] registry_item item_of(const server_entry& entry, entry_state state) const;
     void note_unreadable(const std::string& name, object_version version);
@@ -123,6 +126,7 @@
     changed_hook changed_;                                    ///< see changed_hook
     registry_settings settings_;                              ///< timing
     object_version revision_;                                 ///< see revision()
+    std::string_view source_;                                 ///< where the current update is from
     object_version changed_at_;                               ///< see changed_at()
     std::map<std::string, server_entry> entries_;             ///< by name
     std::map<std::string, pending_removal> pending_removals_; ///< by name
--- a/packages/core/upstreams/server_pool.cpp
+++ b/packages/core/upstreams/server_pool.cpp
@@ -159,7 +159,7 @@
     if (placement_changed)
         publish_set(entry.service);
     if (entry.is_leaving)
-        servers_.note_leaving(id, {});
+        servers_.note_leaving(id, {}, {leaving_source::entry});
     return placement_changed;
 }
 
--- a/packages/ctl/explain_command.cpp
+++ b/packages/ctl/explain_command.cpp
@@ -2,16 +2,12 @@
 #include "ctl/explain_command.h"
 
 #include <algorithm>
-#include <fstream>
 #include <iostream>
 #include <map>
-#include <optional>
 #include <set>
 #include <string_view>
-#include <tuple>
-#include <utility>
 
-#include "runtime/log_line.h"
+#include "ctl/log_files.h"
 #include "json/json_view.h"
 
 namespace pollengrade {
@@ -38,40 +34,14 @@
     return it == explanations.end() ? std::string_view{} : it->second;
 }
 
-bool read_lines(std::istream& in, std::vector<log_line_parts>& lines) {
-    for (std::string text; std::getline(in, text);) {
-        if (auto parts = parse_log_line(text))
-            lines.push_back(std::move(*parts));
-    }
-    return !in.bad();
-}
-
 /** @return the servers that the log lines of a request name. */
 std::set<std::string> servers_of(const std::vector<const log_line_parts*>& request_lines) {
     std::set<std::string> servers;
-    for (const log_line_parts* it : request_lines) {
-        for (const char* name : {"server", "servers", "asked"}) {
-            std::string_view list = it->value_of(name);
-            while (!list.empty()) {
-                const auto comma = list.find(',');
-                servers.emplace(list.substr(0, comma));
-                list = comma == std::string_view::npos ? std::string_view{} : list.substr(comma + 1);
-            }
-        }
-    }
+    for (const log_line_parts* it : request_lines)
+        servers.merge(servers_named_by(*it));
     return servers;
 }
 
-std::string format_line(const log_line_parts& it) {
-    std::string text = it.node;
-    text.append(" ").append(it.event);
-    if (!it.subject.empty())
-        text.append(" ").append(it.subject);
-    for (const auto& [name, value] : it.pairs)
-        text.append(" ").append(name).append("=").append(value);
-    return text;
-}
-
 void print_cause(const std::vector<const log_line_parts*>& request_lines) {
     const log_line_parts* end = nullptr;
     std::map<std::string, std::string> missing;
@@ -109,20 +79,11 @@
 
 exit_code explain_request(const command_context& context, const std::string& request,
                           const std::vector<std::string>& files) {
-    std::vector<log_line_parts> lines;
-    for (const std::string& file : files) {
-        std::ifstream in{file};
-        const bool read_succeeded = file == "-" ? read_lines(std::cin, lines) : in && read_lines(in, lines);
-        if (!read_succeeded) {
-            std::cerr << "pollengradectl: cannot read " << file << "\n";
-            return exit_code::usage;
-        }
-    }
-    std::stable_sort(lines.begin(), lines.end(), [](const log_line_parts& a, const log_line_parts& b) {
-        return std::tie(a.wall_ms, a.counter) < std::tie(b.wall_ms, b.counter);
-    });
+    const auto lines = read_log_files(files);
+    if (!lines)
+        return exit_code::usage;
     std::vector<const log_line_parts*> request_lines;
-    for (const log_line_parts& it : lines) {
+    for (const log_line_parts& it : *lines) {
         if (it.request == request)
             request_lines.push_back(&it);
     }
@@ -134,11 +95,11 @@
     const std::set<std::string> servers = servers_of(request_lines);
     json_writer out;
     out.begin_array();
-    for (const log_line_parts& it : lines) {
+    for (const log_line_parts& it : *lines) {
         const bool is_own = it.request == request;
-        const bool is_context =
-            it.request.empty() && servers.contains(it.subject) && it.wall_ms >= start - context_window_ms &&
-            it.wall_ms <= request_lines.back()->wall_ms && it.node == request_lines.front()->node;
+        const bool is_context = servers.contains(it.subject) && it.wall_ms >= start - context_window_ms &&
+                                it.wall_ms <= request_lines.back()->wall_ms &&
+                                it.node == request_lines.front()->node;
         if (!is_own && !is_context)
             continue;
         if (context.json) {
@@ -148,7 +109,7 @@
                 out.member(name.c_str(), value);
             out.end_object();
         } else {
-            std::cout << (is_own ? "" : "  before: ") << it.wall_ms - start << " ms " << format_line(it)
+            std::cout << (is_own ? "" : "  before: ") << it.wall_ms - start << " ms " << format_log_line(it)
                       << "\n";
         }
     }
--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -11,6 +11,7 @@
 #include "ctl/command_type.h"
 #include "ctl/document_command.h"
 #include "ctl/explain_command.h"
+#include "ctl/explain_server_command.h"
 #include "ctl/node_command.h"
 #include "runtime/program_func.h"
 
@@ -32,6 +33,7 @@
   timeline                   events of all nodes in one causal order
 Logs (no address needed):
   explain ID FILE...         explain the outcome of a request from log lines; - for standard input
+  explain-server ID FILE...  who learned that a server leaves, and what was sent to it afterwards
 Requests (these need --callers, the address of a node or load balancer):
   query SERVICE TEXT         search all shards
   lookup SERVICE NUMBER      look up one number
@@ -113,6 +115,12 @@
               return explain_request(c, it.front(), {it.begin() + 1, it.end()});
           },
           true}},
+        {"explain-server",
+         {2, "",
+          [](context_type c, const argument_list& it, flags_type) {
+              return explain_server(c, it.front(), {it.begin() + 1, it.end()});
+          },
+          true}},
         {"status",
          {0, "node", [](context_type c, const argument_list&, flags_type) { return show_status(c); }}},
         {"timeline",
--- a/packages/daemon/document_frontend.cpp
+++ b/packages/daemon/document_frontend.cpp
@@ -65,7 +65,7 @@
     const upstream_id id{entry.address.value()};
     const std::string instance = entry.name + "@" + std::to_string(entry.started_ms);
     if (removed || entry.is_leaving)
-        servers_.note_leaving(id, instance);
+        servers_.note_leaving(id, instance, {removed ? leaving_source::removal : leaving_source::entry});
     else
         servers_.note_live(id, instance);
 }
--- a/tests/core/queries/forward_test.cpp
+++ b/tests/core/queries/forward_test.cpp
@@ -120,7 +120,7 @@
 TEST_CASE("a gather that cannot reach enough shards is refused at once and sends nothing") {
     fixture it;
     for (const char* server : {"s0a", "s0b", "s1a", "s1b"})
-        it.network.servers().note_leaving(upstream_id{server}, {});
+        it.network.servers().note_leaving(upstream_id{server}, {}, {});
     it.submit("/search/x");
     const auto* refused = it.last<refused_answer>();
     REQUIRE(refused != nullptr);
--- a/tests/core/queries/gather_test.cpp
+++ b/tests/core/queries/gather_test.cpp
@@ -238,8 +238,8 @@
     CHECK(it.node.answers()[0].result == outcome::refused);
     CHECK(it.node.answers()[0].missing[0].reason == missing_reason::load_shed);
     it.reply_all_but(99);
-    it.node.servers().note_leaving(upstream_id{"127.9.1.1:9000"}, "first");
-    it.node.servers().note_leaving(upstream_id{"127.9.1.2:9000"}, "first");
+    it.node.servers().note_leaving(upstream_id{"127.9.1.1:9000"}, "first", {});
+    it.node.servers().note_leaving(upstream_id{"127.9.1.2:9000"}, "first", {});
     it.node.search();
     it.reply_all_but(99);
     CHECK(it.node.answers().back().missing.at(0).reason == missing_reason::no_replica);
@@ -291,7 +291,7 @@
     fixture it;
     const upstream_id leaving{"127.9.2.1:9000"};
     it.node.servers().note_live(leaving, "first");
-    it.node.servers().note_leaving(leaving, "first");
+    it.node.servers().note_leaving(leaving, "first", {});
     it.node.servers().note_live(leaving, "first");
     for (int n = 0; n < 20; ++n) {
         it.node.search();
@@ -318,7 +318,7 @@
         it.node.search(std::chrono::seconds{5});
     // Each of the two servers has one request and the others wait; then the first server leaves.
     const upstream_id leaving = it.node.open_requests(2).front().to;
-    it.node.servers().note_leaving(leaving, "first");
+    it.node.servers().note_leaving(leaving, "first", {});
     for (int n = 0; n < 40 && !it.node.open_requests().empty(); ++n)
         it.node.reply(it.node.open_requests().back(),
                       [](shard_reply& reply) { reply.server_incarnation = "first"; });
--- a/tests/core/upstreams/dispatcher_test.cpp
+++ b/tests/core/upstreams/dispatcher_test.cpp
@@ -215,7 +215,7 @@
                 break;
             case 2:
                 if (!members.empty())
-                    servers.note_leaving(pick(members), {});
+                    servers.note_leaving(pick(members), {}, {});
                 break;
             case 3:
                 it.network.connect_all();
