Fix: what a server states in a reply to a holder that it leaves is known to the node that passes the answer on

What callers saw: nothing; a server that had stated in a reply that it leaves got a search from a node that had passed that reply on, more than drain-ms later. Cause: the statement stayed with the node that read the reply. With holders another node gives the merged answer to the caller, and that node sends queries itself once its holders are lost, decline or change; the server's entry may read ready all the while. The other way round, a holder sent queries for a node that had known for long. Ruled out: that the marking on the reading node fails (first attempts, retries, hedges, trials and the waiting queue all pass upstream::condition()). Codec tests are new, for a new field, and could not fail before. Change: a holder's answer names the servers that stated it while the query ran, and the node takes them before it passes the answer on; a delegated query names those that its node knows and has not told this holder, told again after a call that failed. What is remembered stands in upstreams/departures. Why it works: each part of a merged answer was read during the run, so its server is in the list of that answer; the node marks it before the caller has a byte. Nodes of earlier builds leave the lists empty.

--- a/packages/core/queries/delegation.cpp
+++ b/packages/core/queries/delegation.cpp
@@ -94,6 +94,11 @@
     const duration spent = it.sent_at - it.started + expected_overhead();
     request.elapsed += spent;
     request.left -= spent;
+    if (hooks_.departures_after) {
+        departure_news news = hooks_.departures_after(holders_[it.calls.at(call)].told_up_to);
+        request.departed = std::move(news.servers);
+        it.told_up_to = news.up_to;
+    }
     return request;
 }
 
@@ -118,6 +123,7 @@
     it.ack_timer.reset();
     const node_address holder = it.calls.at(call);
     holders_[holder].silent_until = timers_.now() + silent_holder_backoff;
+    holders_[holder].told_up_to = 0;
     ++counts_.counter("holders_silent");
     log_.record(event_kind::request_forwarded, it.request.request->id, holder.value(),
                 {{event_key::outcome, "not_seen"}, {event_key::waited_ms, timers_.now() - it.started}});
@@ -144,7 +150,12 @@
     if (answer)
         fields.emplace_back(event_key::version, answer->version.value());
     log_.record(event_kind::request_forwarded, it.request.request->id, holder.value(), std::move(fields));
-    upstream_health& health = holders_[holder].health;
+    holder_state& state = holders_[holder];
+    if (!answer)
+        state.told_up_to = 0;
+    else if (was_sent)
+        state.told_up_to = std::max(state.told_up_to, it.told_up_to);
+    upstream_health& health = state.health;
     if (answer && !answer->is_declined) {
         overhead_.add(now - it.sent_at - answer->took);
         health.on_reply(now, it.started, took, duration{0});
--- a/packages/core/queries/delegation.h
+++ b/packages/core/queries/delegation.h
@@ -18,6 +18,7 @@
 #include "core/queries/forward_type.h"
 #include "core/queries/run_id.h"
 #include "core/upstreams/attempt_type.h"
+#include "core/upstreams/departures.h"
 #include "core/upstreams/upstream_health.h"
 
 namespace pollengrade {
@@ -27,7 +28,8 @@
     std::shared_ptr<const forwarded_request> request; ///< the request as the caller sent it
     duration elapsed{};                               ///< time since the caller's request was read
     duration left{};                                  ///< time until the answer is no longer useful
-    object_version least_version; ///< the holder must have routes of this version or a newer one
+    object_version least_version;            ///< the holder must have routes of this version or a newer one
+    std::vector<departed_server> departed{}; ///< servers that leave, which the holder may not know yet
 };
 
 /** A holder's answer to a delegated query. */
@@ -36,7 +38,8 @@
     object_version version;   ///< version of the routes that the answer follows
     duration took{};          ///< time from when the holder read the query to its answer
     bool is_declined = false; ///< whether the holder didn't run it: its routes are too old, or it is stopping
-    node_knowledge knowledge{}; ///< of the holder, when it answered
+    node_knowledge knowledge{};              ///< of the holder, when it answered
+    std::vector<departed_server> departed{}; ///< servers that stated it in replies while the query ran
 };
 
 /** Identifies one call to a holder. */
@@ -59,6 +62,8 @@
     std::function<void(delegation_call)> cancel;
     /** @return the failure domain of a node; empty if unknown. */
     std::function<failure_domain(const node_address&)> domain_of;
+    /** @return the servers that this node learned to leave after an earlier call; see departures::after(). */
+    std::function<departure_news(std::uint64_t up_to)> departures_after{};
 };
 
 /**
@@ -108,13 +113,15 @@
         std::optional<timer_id> ack_timer;             ///< ack timeout of the last holder called
         std::optional<delegation_call> sent_call;      ///< the call on which the query was sent
         time_point sent_at;                            ///< when it was sent
+        std::uint64_t told_up_to = 0;                  ///< departures that the holder knows by its answer
         answer_callback done;
     };
     /** State of one holder. */
     struct holder_state {
-        upstream_health health;      ///< health, from the results of its calls
-        std::uint32_t in_flight = 0; ///< this node's open calls to the holder
-        time_point silent_until{};   ///< after an ack timeout: not called before then
+        upstream_health health;       ///< health, from the results of its calls
+        std::uint32_t in_flight = 0;  ///< this node's open calls to the holder
+        time_point silent_until{};    ///< after an ack timeout: not called before then
+        std::uint64_t told_up_to = 0; ///< departures that it has been told; 0 once it may have restarted
     };
 
     [[nodiscard]] duration expected_overhead() const;
--- a/packages/core/queries/forwarder.cpp
+++ b/packages/core/queries/forwarder.cpp
@@ -37,13 +37,21 @@
     return {"answered", ""};
 }
 
+/** @return the hooks with the departures that the dispatcher knows. */
+delegation_hooks with_departures(delegation_hooks network, const run_context& context) {
+    network.departures_after = [context](std::uint64_t up_to) {
+        return context.servers.departed().after(up_to, context.timers.now());
+    };
+    return network;
+}
+
 } // namespace
 
 forwarder::forwarder(run_context context, const std::function<std::uint64_t()>& random, failure_domain domain,
                      forwarder_hooks hooks, delegation_hooks network, duration caller_round_trip)
-    : context_{context}, hooks_{std::move(hooks)}, delegation_{context.timers,    context.log,
-                                                               context.counts,    random,
-                                                               std::move(domain), std::move(network)},
+    : context_{context}, hooks_{std::move(hooks)},
+      delegation_{context.timers, context.log,       context.counts,
+                  random,         std::move(domain), with_departures(std::move(network), context)},
       timing_{caller_round_trip} {
     context_.timers.set_lateness_hook([this](duration lateness) { timing_.on_timer(lateness); });
 }
@@ -139,7 +147,9 @@
 run_id forwarder::submit_delegated(const delegated_request& request,
                                    std::function<void(delegated_answer)> respond) {
     const run_id id{next_run_++};
+    const time_point now = context_.timers.now();
     ++context_.counts.counter("queries_taken_over");
+    context_.servers.note_departed(request.departed);
     if (!table_ || table_->version() < request.least_version) {
         respond({refused_answer{forward_refusal::not_configured, duration{0}},
                  table_ ? table_->version() : object_version{}, duration{0}, true});
@@ -155,12 +165,14 @@
         respond({refused_answer{forward_refusal::not_configured, duration{0}}, version, duration{0}, true});
         return id;
     }
-    const time_point now = context_.timers.now();
     forward_job job = make_job(request.request, *via, now - request.elapsed, duration{0});
     job.deadline = std::min({job.deadline, job.arrived + via->timeout, now + request.left});
     run_locally(id, std::move(job),
                 [this, now, version, respond = std::move(respond)](forward_answer answer) {
-                    respond({std::move(answer), version, context_.timers.now() - now, false});
+                    const time_point end = context_.timers.now();
+                    delegated_answer out{std::move(answer), version, end - now, false};
+                    out.departed = context_.servers.departed().since(now, end);
+                    respond(std::move(out));
                 });
     return id;
 }
@@ -182,6 +194,8 @@
                 run_locally(id, std::move(*shared_job), respond);
                 return;
             }
+            // The caller gets the answers of these servers from this node.
+            context_.servers.note_departed(answer->departed);
             if (answer->version > seen_version_) {
                 seen_version_ = answer->version;
                 hooks_.newer_routes_seen();
--- a/packages/core/upstreams/dispatcher.cpp
+++ b/packages/core/upstreams/dispatcher.cpp
@@ -51,13 +51,16 @@
     it->second.set_limits(limits);
     it->second.rate().set_sharing_nodes(timers_.now(), limits.sharing_nodes);
     // An entry may come back, from a store or a peer that does not know yet, after the server was removed.
-    if (is_new && stated_leaving_.contains(identity.id))
-        it->second.mark_leaving({});
     if (is_new) {
         log_.record(event_kind::upstream_added, {}, identity.id.value(),
                     {{event_key::address, identity.address.value()},
                      {event_key::domain, identity.domain.value()},
                      {event_key::connections, limits.max_connections}});
+        // An entry may come back, from a store or a peer that does not know yet, after the server was
+        // removed.
+        if (departures_.contains(identity.id))
+            note_leaving(identity.id, {},
+                         {leaving_source::reply, {}, timers_.now() - departures_.stated_at(identity.id)});
         keep_connected(identity.id);
     } else {
         keep_connected(identity.id);
@@ -67,6 +70,17 @@
         arm_unused_check();
 }
 
+void dispatcher::note_departed(std::span<const departed_server> servers) {
+    const time_point now = timers_.now();
+    for (const departed_server& it : servers) {
+        if (!departures_.contains(it.id))
+            ++counts_.counter("departures_from_nodes");
+        departures_.note(it.id, now, now - it.age);
+        if (const upstream* server = find(it.id))
+            note_leaving(it.id, server->incarnation(), {leaving_source::holder, {}, it.age});
+    }
+}
+
 void dispatcher::remove_server(const upstream_id& id) {
     upstream* server = at(id);
     if (server == nullptr)
--- a/packages/core/upstreams/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -17,6 +17,7 @@
 #include "core/base/metrics.h"
 #include "core/base/timer_queue.h"
 #include "core/upstreams/attempt_type.h"
+#include "core/upstreams/departures.h"
 #include "core/upstreams/leaving_type.h"
 #include "core/upstreams/replica_set.h"
 #include "core/upstreams/upstream.h"
@@ -74,6 +75,10 @@
     /** Records that a server is leaving, or is live; see upstream::mark_leaving() and mark_live(). */
     void note_leaving(const upstream_id& id, std::string_view incarnation, const leaving_report& report);
     void note_live(const upstream_id& id, std::string_view incarnation);
+    /** Takes from another node which servers stated in replies to it that they leave. */
+    void note_departed(std::span<const departed_server> servers);
+    /** @return the servers that stated in replies that they leave. */
+    [[nodiscard]] const departures& departed() const noexcept { return departures_; }
 
     /** @return whether an attempt submitted now would be sent, be queued or fail. */
     [[nodiscard]] availability availability_of(const replica_set_name& set,
@@ -184,7 +189,7 @@
     std::map<upstream_id, std::vector<replica_set_name>> sets_of_; ///< the sets that each server belongs to
     duration max_pause_ = std::chrono::minutes{5};                 ///< see set_max_pause()
     std::map<upstream_id, timer_id> pause_ends_; ///< when waiting attempts may be sent to a server again
-    std::map<upstream_id, time_point> stated_leaving_; ///< servers that said so, also removed ones, and when
+    departures departures_;                      ///< see departed()
     std::unordered_map<work_class, latency_profile> profiles_; ///< times of good replies, by kind of work
     std::unordered_map<attempt_id, attempt> attempts_;         ///< attempts waiting or in flight
     std::unordered_map<connection_id, upstream_id> owners_;    ///< the server of each connection
--- a/packages/core/upstreams/dispatcher_results.cpp
+++ b/packages/core/upstreams/dispatcher_results.cpp
@@ -13,9 +13,6 @@
 constexpr int resume_spread_part = 8;
 constexpr duration max_resume_spread = std::chrono::milliseconds{500};
 constexpr duration response_check_period = std::chrono::milliseconds{50};
-/** Time for which it is remembered that a server stated that it leaves. */
-constexpr duration departure_retention = std::chrono::minutes{10};
-constexpr std::size_t max_departures = 16384; ///< servers remembered at most
 
 } // namespace
 
@@ -155,12 +152,8 @@
 
 void dispatcher::note_stated_leaving(upstream& server, const request_id& request) {
     const time_point now = timers_.now();
-    if (!server.identity().instance.empty()) {
-        std::erase_if(stated_leaving_,
-                      [now](const auto& it) { return it.second + departure_retention < now; });
-        if (stated_leaving_.size() < max_departures)
-            stated_leaving_[server.id()] = now;
-    }
+    if (!server.identity().instance.empty())
+        departures_.note(server.id(), now, now);
     if (!server.is_leaving())
         ++counts_.counter("servers_stated_leaving");
     note_leaving(server.id(), server.incarnation(), {leaving_source::reply, request});
--- a/packages/peer/peer.capnp
+++ b/packages/peer/peer.capnp
@@ -58,6 +58,12 @@
   value @1 :Text;
 }
 
+# A server that stated in a reply that it leaves: core/upstreams/departures.h.
+struct DepartedServer {
+  id @0 :Text;              # name@start, as in the registry
+  ageMs @1 :UInt32;         # time since it stated it
+}
+
 # A caller's query as sent to a holder: core/queries/delegation.h.
 struct DelegatedRequest {
   id @0 :Text;
@@ -69,6 +75,7 @@
   elapsedUs @6 :Int64;
   leftUs @7 :Int64;
   leastVersion @8 :UInt64;
+  departed @9 :List(DepartedServer); # servers that the holder may not know to leave
 }
 
 struct DelegatedAnswer {
@@ -84,6 +91,7 @@
   retryAfterUs @9 :Int64;    # refused
   tookUs @10 :Int64;         # time from when the holder read the query to its answer
   knowledge @11 :Knowledge;
+  departed @12 :List(DepartedServer); # servers that stated it while the query ran
 }
 
 struct ConfigEntry {
--- a/packages/peer/peer.capnp.h
+++ b/packages/peer/peer.capnp.h
@@ -24,6 +24,7 @@
 CAPNP_DECLARE_SCHEMA(c301247bd356c89f);
 CAPNP_DECLARE_SCHEMA(d192ca4076c7154b);
 CAPNP_DECLARE_SCHEMA(ffac76511af9adef);
+CAPNP_DECLARE_SCHEMA(8b7874f3616e12e1);
 CAPNP_DECLARE_SCHEMA(aec64b647c5016e7);
 CAPNP_DECLARE_SCHEMA(c602fecf27b5cc27);
 CAPNP_DECLARE_SCHEMA(9e8d53481fdb03a3);
@@ -124,6 +125,21 @@
   };
 };
 
+struct DepartedServer {
+  DepartedServer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8b7874f3616e12e1, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct DelegatedRequest {
   DelegatedRequest() = delete;
 
@@ -132,7 +148,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aec64b647c5016e7, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(aec64b647c5016e7, 3, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -147,7 +163,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c602fecf27b5cc27, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c602fecf27b5cc27, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1003,6 +1019,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class DepartedServer::Reader {
+public:
+  typedef DepartedServer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class DepartedServer::Builder {
+public:
+  typedef DepartedServer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class DepartedServer::Pipeline {
+public:
+  typedef DepartedServer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class DelegatedRequest::Reader {
 public:
   typedef DelegatedRequest Reads;
@@ -1044,6 +1146,9 @@
 
   inline  ::uint64_t getLeastVersion() const;
 
+  inline bool hasDeparted() const;
+  inline  ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Reader getDeparted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1123,6 +1228,13 @@
   inline  ::uint64_t getLeastVersion();
   inline void setLeastVersion( ::uint64_t value);
 
+  inline bool hasDeparted();
+  inline  ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Builder getDeparted();
+  inline void setDeparted( ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Builder initDeparted(unsigned int size);
+  inline void adoptDeparted(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>> disownDeparted();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1194,6 +1306,9 @@
   inline bool hasKnowledge() const;
   inline  ::pollengrade::wire::Knowledge::Reader getKnowledge() const;
 
+  inline bool hasDeparted() const;
+  inline  ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Reader getDeparted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1275,6 +1390,13 @@
   inline void adoptKnowledge(::capnp::Orphan< ::pollengrade::wire::Knowledge>&& value);
   inline ::capnp::Orphan< ::pollengrade::wire::Knowledge> disownKnowledge();
 
+  inline bool hasDeparted();
+  inline  ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Builder getDeparted();
+  inline void setDeparted( ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Builder initDeparted(unsigned int size);
+  inline void adoptDeparted(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>> disownDeparted();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3378,6 +3500,54 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool DepartedServer::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool DepartedServer::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader DepartedServer::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder DepartedServer::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DepartedServer::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder DepartedServer::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void DepartedServer::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> DepartedServer::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t DepartedServer::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t DepartedServer::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DepartedServer::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool DelegatedRequest::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3624,6 +3794,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool DelegatedRequest::Reader::hasDeparted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool DelegatedRequest::Builder::hasDeparted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Reader DelegatedRequest::Reader::getDeparted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Builder DelegatedRequest::Builder::getDeparted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void DelegatedRequest::Builder::setDeparted( ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Builder DelegatedRequest::Builder::initDeparted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void DelegatedRequest::Builder::adoptDeparted(
+    ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>> DelegatedRequest::Builder::disownDeparted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t DelegatedAnswer::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3881,6 +4085,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool DelegatedAnswer::Reader::hasDeparted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool DelegatedAnswer::Builder::hasDeparted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Reader DelegatedAnswer::Reader::getDeparted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Builder DelegatedAnswer::Builder::getDeparted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void DelegatedAnswer::Builder::setDeparted( ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Builder DelegatedAnswer::Builder::initDeparted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void DelegatedAnswer::Builder::adoptDeparted(
+    ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>> DelegatedAnswer::Builder::disownDeparted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t ConfigEntry::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/peer/query_codec.cpp
+++ b/packages/peer/query_codec.cpp
@@ -2,7 +2,9 @@
  * core's types. */
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <memory>
+#include <span>
 #include <string>
 #include <utility>
 #include <variant>
@@ -13,6 +15,8 @@
 
 namespace {
 
+constexpr std::size_t max_server_id_bytes = 512; ///< a longer ID is no server's
+
 std::string text_of(capnp::Text::Reader it) {
     return std::string{it.cStr(), it.size()};
 }
@@ -41,6 +45,27 @@
     return fields;
 }
 
+void write_departed(std::span<const departed_server> servers,
+                    capnp::List<wire::DepartedServer>::Builder out) {
+    for (unsigned n = 0; n < out.size(); ++n) {
+        constexpr std::int64_t max_age_ms = std::numeric_limits<std::uint32_t>::max();
+        out[n].setId(servers[n].id.value());
+        out[n].setAgeMs(static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(to_milliseconds(servers[n].age), 0, max_age_ms)));
+    }
+}
+
+std::vector<departed_server> read_departed(capnp::List<wire::DepartedServer>::Reader in) {
+    std::vector<departed_server> servers;
+    for (const auto it : in) {
+        if (servers.size() == max_departures_told)
+            break;
+        if (it.getId().size() > 0 && it.getId().size() <= max_server_id_bytes)
+            servers.push_back({upstream_id{text_of(it.getId())}, std::chrono::milliseconds{it.getAgeMs()}});
+    }
+    return servers;
+}
+
 /** Writes the fields that are specific to each kind of answer. */
 struct answer_writer {
     wire::DelegatedAnswer::Builder out;
@@ -123,6 +148,7 @@
     out.setElapsedUs(it.elapsed.count());
     out.setLeftUs(it.left.count());
     out.setLeastVersion(it.least_version.value());
+    write_departed(it.departed, out.initDeparted(static_cast<unsigned>(it.departed.size())));
 }
 
 std::optional<delegated_request> read_request(wire::DelegatedRequest::Reader in) {
@@ -146,6 +172,7 @@
     it.elapsed = duration{in.getElapsedUs()};
     it.left = duration{in.getLeftUs()};
     it.least_version = object_version{in.getLeastVersion()};
+    it.departed = read_departed(in.getDeparted());
     return it;
 }
 
@@ -155,6 +182,7 @@
     out.setTookUs(it.took.count());
     out.setIsStale(it.is_declined);
     write_knowledge(it.knowledge, out.initKnowledge());
+    write_departed(it.departed, out.initDeparted(static_cast<unsigned>(it.departed.size())));
     std::visit(answer_writer{out}, it.answer);
 }
 
@@ -162,9 +190,12 @@
     auto answer = read_forward_answer(in);
     if (!answer)
         return std::nullopt;
-    return delegated_answer{std::move(*answer), object_version{in.getVersion()},
-                            duration{std::max<std::int64_t>(0, in.getTookUs())}, in.getIsStale(),
-                            read_knowledge(in.getKnowledge())};
+    return delegated_answer{std::move(*answer),
+                            object_version{in.getVersion()},
+                            duration{std::max<std::int64_t>(0, in.getTookUs())},
+                            in.getIsStale(),
+                            read_knowledge(in.getKnowledge()),
+                            read_departed(in.getDeparted())};
 }
 
 } // namespace pollengrade
--- /dev/null
+++ b/tests/peer/query_codec_test.cpp
@@ -0,0 +1,65 @@
+/** @file query_codec_test.cpp Delegated queries and answers keep what servers stated on their way between
+ * nodes. */
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+#include <capnp/message.h>
+
+#include "peer/peer_codec.h"
+
+namespace pollengrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+delegated_answer round_trip(const delegated_answer& it) {
+    capnp::MallocMessageBuilder message;
+    auto out = message.initRoot<wire::DelegatedAnswer>();
+    write_answer(it, out);
+    return read_answer(out.asReader()).value();
+}
+
+} // namespace
+
+TEST_CASE("a holder's answer keeps which servers stated that they leave, and for how long") {
+    delegated_answer it{refused_answer{}, object_version{7}, {}, false};
+    it.departed = {{upstream_id{"i-1@5"}, milliseconds{20}}, {upstream_id{"i-2@6"}, milliseconds{0}}};
+    const delegated_answer read = round_trip(it);
+    REQUIRE(read.departed.size() == 2);
+    CHECK(read.departed[0].id.value() == "i-1@5");
+    CHECK(read.departed[0].age == milliseconds{20});
+    CHECK(read.departed[1].id.value() == "i-2@6");
+}
+
+TEST_CASE(
+    "of a peer's list of leaving servers, IDs that no server has and those beyond the bound are left out") {
+    delegated_answer it{refused_answer{}, object_version{7}, {}, false};
+    it.departed = {{upstream_id{""}, {}}, {upstream_id{std::string(5000, 'x')}, {}}};
+    for (std::size_t n = 0; n < 2 * max_departures_told; ++n)
+        it.departed.push_back({upstream_id{"i-" + std::to_string(n)}, milliseconds{1}});
+    const delegated_answer read = round_trip(it);
+    REQUIRE(read.departed.size() == max_departures_told);
+    CHECK(read.departed.front().id.value() == "i-0");
+}
+
+TEST_CASE("a query to a holder keeps which servers leave") {
+    delegated_request it;
+    auto request = std::make_shared<forwarded_request>();
+    request->message.method = "GET";
+    request->message.target = "/search/1";
+    it.request = request;
+    it.left = milliseconds{100};
+    it.departed = {{upstream_id{"i-1@5"}, milliseconds{20}}};
+    capnp::MallocMessageBuilder message;
+    auto out = message.initRoot<wire::DelegatedRequest>();
+    write_request(it, out);
+    const auto read = read_request(out.asReader());
+    REQUIRE(read);
+    REQUIRE(read->departed.size() == 1);
+    CHECK(read->departed[0].id.value() == "i-1@5");
+}
+
+} // namespace pollengrade
