Fix: a node that ceased to watch the store while its calls failed checks the store again

What callers saw: nothing yet; such a node learns of servers that leave and of routes from other nodes alone, and none of them may be in touch (DRAIN, CONFIG). Cause: object_watcher::check() left a failing store to the retries of its own calls. A node that has ceased to be a store watcher, because holders changed or its ten seconds in place of others were over, does not retry, and its count of failures stays: every later check returned without a call. Ruled out: the first list, which is retried whoever watches. Evidence: the test failed before (no call follows the check). Why it works: only a call or a delay in progress replaces a check; an answered check ends the count of failures.

--- a/packages/core/cluster/object_watcher.cpp
+++ b/packages/core/cluster/object_watcher.cpp
@@ -147,8 +147,9 @@
 }
 
 void object_watcher::check() {
-    // After a failure the calls themselves are checks.
-    if (!current_ || failures_ > 0 || std::exchange(checking_, true))
+    // After a failure the calls themselves are checks, as long as there are any.
+    const bool is_retrying = failures_ > 0 && busy_;
+    if (!current_ || is_retrying || std::exchange(checking_, true))
         return;
     const time_point asked_at = timers_.now();
     hooks_.watch(revision_, duration{0}, first_list_limit,
@@ -178,6 +179,8 @@
         return;
     }
     hooks_.reached(true);
+    if (!busy_)
+        failures_ = 0;
     take(*result);
     // A watch that waits for changes that the store has told of is lost.
     if (!result->changes.empty() && busy_ && !delay_) {
--- a/tests/core/cluster/object_watcher_test.cpp
+++ b/tests/core/cluster/object_watcher_test.cpp
@@ -41,7 +41,7 @@
         it.replaced = [this](const object_list& list) { replaced.push_back(list.revision.value()); };
         it.changed = [this](const object_changes& changes) { changed.push_back(changes.revision.value()); };
         it.reached = [this](bool reached) { reached_now = reached; };
-        it.is_store_watcher = [] { return true; };
+        it.is_store_watcher = [this] { return is_store_watcher; };
         it.confirmed = [] {};
         return it;
     }
@@ -64,6 +64,7 @@
     std::vector<std::uint64_t> replaced;
     std::vector<std::uint64_t> changed;
     bool reached_now = false;
+    bool is_store_watcher = true;
     object_watcher watcher;
 };
 
@@ -280,4 +281,25 @@
     CHECK(it.replaced == std::vector<std::uint64_t>{7, 9});
 }
 
+TEST_CASE("a node that ceased to watch the store while its calls failed still checks the store") {
+    watcher_fixture it;
+    it.watcher.start();
+    it.answer_list(7);
+    it.fail_watch(store_error::unavailable);
+    it.is_store_watcher = false;
+    it.watcher.on_store_watcher_changed();
+    it.advance(2000);
+    REQUIRE_FALSE(it.watching);
+    it.watcher.check();
+    REQUIRE(it.watching);
+    std::exchange(it.watching,
+                  nullptr)(object_changes{object_version{8}, {{object_of(entry_of("a", 8)), true}}});
+    CHECK(it.changed == std::vector<std::uint64_t>{8});
+    CHECK(it.reached_now);
+    it.is_store_watcher = true;
+    it.watcher.on_store_watcher_changed();
+    REQUIRE(it.watching);
+    CHECK(it.watched_from.back() == 8);
+}
+
 } // namespace pollengrade
