Fix: a server's statement that it leaves is not forgotten while the node knows the server, nor because many are known

What callers saw: nothing yet; a server that leaves for a long time, or as one of very many, would get requests again once its entry was removed and came back (a lapse while the store is away, a restored copy, a peer that does not know). Cause: a statement was remembered for ten minutes from when it was made, also while the server was still listed; and with 16,384 remembered the newest one was dropped instead of the oldest. Why it works: the ten minutes count from the removal of a server that the node knows; at the bound the one noted longest ago goes.

--- a/packages/core/upstreams/departures.cpp
+++ b/packages/core/upstreams/departures.cpp
@@ -17,24 +17,38 @@
     if (found != known_.end()) {
         found->second.at = std::max(found->second.at, at);
         found->second.noted = now;
+        found->second.last_known = now;
         return;
     }
     forget_old(now);
     if (known_.size() >= max_departures)
-        return;
+        forget_first_noted();
     by_number_[next_number_] = id;
-    known_[id] = {at, now, next_number_++};
+    known_[id] = {at, now, now, next_number_++};
 }
 
 void departures::forget_old(time_point now) {
     std::erase_if(known_, [&](const auto& it) {
-        const bool is_old = it.second.noted + retention < now;
+        const bool is_old = it.second.last_known + retention < now && !is_known_(it.first);
         if (is_old)
             by_number_.erase(it.second.number);
         return is_old;
     });
 }
 
+void departures::on_removed(const upstream_id& id, time_point now) {
+    if (const auto found = known_.find(id); found != known_.end())
+        found->second.last_known = now;
+}
+
+void departures::forget_first_noted() {
+    const auto first = std::min_element(known_.begin(), known_.end(), [](const auto& a, const auto& b) {
+        return a.second.noted < b.second.noted;
+    });
+    by_number_.erase(first->second.number);
+    known_.erase(first);
+}
+
 std::vector<departed_server> departures::since(time_point noted, time_point now) const {
     std::vector<departed_server> list;
     for (auto it = by_number_.rbegin(); it != by_number_.rend() && list.size() < max_departures_told; ++it) {
--- a/packages/core/upstreams/departures.h
+++ b/packages/core/upstreams/departures.h
@@ -3,7 +3,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "core/base/id_type.h"
@@ -28,12 +30,18 @@
 /**
  * Servers that stated in a reply that they leave, also removed ones: an entry may come back, from a store or
  * a peer that does not know yet. An ID belongs to one start of a server, so a departure is never taken back.
- * It is forgotten after some minutes.
+ * It is forgotten some minutes after the node has lost its server, or when too many are known: the one noted
+ * longest ago goes first.
  */
 class departures {
 public:
+    /** @param is_known returns whether the node still knows a server */
+    explicit departures(std::function<bool(const upstream_id&)> is_known) : is_known_{std::move(is_known)} {}
+
     /** Records a server's statement. @param at when it was stated */
     void note(const upstream_id& id, time_point now, time_point at);
+    /** Called when the node loses a server: its departure is kept for some minutes from now. */
+    void on_removed(const upstream_id& id, time_point now);
     [[nodiscard]] bool contains(const upstream_id& id) const { return known_.contains(id); }
     /** @return when the statement was made last. @pre contains(id) */
     [[nodiscard]] time_point stated_at(const upstream_id& id) const { return known_.at(id).at; }
@@ -49,14 +57,17 @@
     struct departure {
         time_point at{};          ///< when it was stated last
         time_point noted{};       ///< when this node learned that
+        time_point last_known{};  ///< when the node noted it or lost its server
         std::uint64_t number = 0; ///< rises with each server noted
     };
 
     void forget_old(time_point now);
+    void forget_first_noted();
 
-    std::map<upstream_id, departure> known_;         ///< by ID
-    std::map<std::uint64_t, upstream_id> by_number_; ///< the same, oldest first
-    std::uint64_t next_number_ = 1;                  ///< number of the next server
+    std::function<bool(const upstream_id&)> is_known_; ///< see departures()
+    std::map<upstream_id, departure> known_;           ///< by ID
+    std::map<std::uint64_t, upstream_id> by_number_;   ///< the same, oldest first
+    std::uint64_t next_number_ = 1;                    ///< number of the next server
 };
 
 } // namespace pollengrade
--- a/packages/core/upstreams/dispatcher.cpp
+++ b/packages/core/upstreams/dispatcher.cpp
@@ -85,6 +85,7 @@
     upstream* server = at(id);
     if (server == nullptr)
         return;
+    departures_.on_removed(id, timers_.now());
     note_leaving(id, server->incarnation(), {leaving_source::removal});
     for (const replica_set_name& name : sets_of_[id])
         std::erase(sets_.at(name).members, id);
--- a/packages/core/upstreams/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -189,7 +189,8 @@
     std::map<upstream_id, std::vector<replica_set_name>> sets_of_; ///< the sets that each server belongs to
     duration max_pause_ = std::chrono::minutes{5};                 ///< see set_max_pause()
     std::map<upstream_id, timer_id> pause_ends_; ///< when waiting attempts may be sent to a server again
-    departures departures_;                      ///< see departed()
+    /** See departed(). */
+    departures departures_{[this](const upstream_id& id) { return upstreams_.contains(id); }};
     std::unordered_map<work_class, latency_profile> profiles_; ///< times of good replies, by kind of work
     std::unordered_map<attempt_id, attempt> attempts_;         ///< attempts waiting or in flight
     std::unordered_map<connection_id, upstream_id> owners_;    ///< the server of each connection
