Add: test that a node keeps to a limit which a server stated in an answer that a holder read

Looked for: the cause of the late searches (a statement stays with the node that read the reply) on the other statements of servers, limit and pause. Evidence: the test passes without a change: the node reads the limit in the first reply to its own requests, within one reply time, and the rule has room for these. A pause is counted for the node that was answered 503, which is the node that read it. Conclusion: no fault, nothing changed; the test stays as a guard.

--- a/tests/core/queries/leaving_statement_test.cpp
+++ b/tests/core/queries/leaving_statement_test.cpp
@@ -54,6 +54,17 @@
         return to_leaving;
     }
 
+    /** Answers all requests at the servers, which state a limit. @return the number of requests */
+    static std::size_t answer_limited(fake_network& at, double per_second, int& proofs) {
+        std::size_t count = 0;
+        for (const pending_request& it : at.requests()) {
+            const std::string proof = it.to.value() + "-" + std::to_string(++proofs);
+            at.answer(it.connection, good_reply(proof), true, {per_second, true});
+            ++count;
+        }
+        return count;
+    }
+
     void advance(std::int64_t ms) { timers.advance_to(timers.now() + std::chrono::milliseconds{ms}); }
 
     forwarder_hooks hooks_of_node() {
@@ -134,4 +145,27 @@
     CHECK(late == 0);
 }
 
+TEST_CASE("a node keeps to the limit that a server states in an answer that a holder read and it passed on") {
+    two_nodes it;
+    constexpr double per_second = 4;
+    for (int n = 0; n < 8; ++n) {
+        it.search();
+        two_nodes::answer_limited(it.holder_network, per_second, it.proofs);
+        it.advance(600);
+    }
+    it.holders.clear(); // The holder is lost.
+    std::size_t sent = 0;
+    constexpr int seconds = 4;
+    constexpr int searches_per_second = 20;
+    for (int n = 0; n < seconds * searches_per_second; ++n) {
+        it.search();
+        sent += two_nodes::answer_limited(it.network, per_second, it.proofs);
+        it.advance(1000 / searches_per_second);
+    }
+    // Eight servers, each of which may be sent half as much again and five requests.
+    constexpr double allowed = 8 * (1.5 * per_second * seconds + 5);
+    CHECK(static_cast<double>(sent) <= allowed);
+    CHECK(it.network.servers().find(upstream_id{"s0a"})->rate().stated() == per_second);
+}
+
 } // namespace pollengrade
