Add: setting for the address from which a node connects to servers

Cause: on VMs with several addresses, and where several nodes stand on one host, servers' logs cannot tell which node sent a request; the soak needs that to check what reaches servers that leave. Change: [node] source, an IPv4 address, empty by default; bound with the port left to the kernel's choice at connect.

--- a/packages/core/config/node_settings.cpp
+++ b/packages/core/config/node_settings.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<key_rule, 21> rules{{
+constexpr std::array<key_rule, 22> rules{{
     {"node", "name", setting_type::text, 1, 63, "", true, "", "",
      "Name of the node in logs and in the event log."},
     {"node", "interface", setting_type::choice, 0, 0, "documents", false, "documents|routes", "",
@@ -22,6 +22,8 @@
      "IPv4:port of metrics, health, status and the event log."},
     {"node", "peers", setting_type::text, 9, 21, "", true, "", "",
      "IPv4:port on which other nodes are served."},
+    {"node", "source", setting_type::text, 0, 15, "", false, "", "",
+     "IPv4 address from which servers are connected to; empty to let the system choose."},
     {"node", "failure_domain", setting_type::text, 1, 63, "", true, "", "", "Failure domain of the VM."},
     {"node", "cpu_share", setting_type::decimal, 0, 1024, "1", false, "", "cores",
      "CPU cores that the VM gives this process; nodes with more capacity are preferred as holders of "
@@ -111,6 +113,9 @@
     it.callers = address("node", "callers");
     it.operators = address("node", "operators");
     it.peers = address("node", "peers");
+    it.source = ini->text("node", "source");
+    if (!it.source.empty() && !is_address(it.source + ":1"))
+        errors.push_back({settings_error_code::not_a_choice, "node", "source", 0, "an IPv4 address"});
     it.domain = failure_domain{ini->text("node", "failure_domain")};
     it.debug = ini->text("node", "debug");
     it.platform = address("platform", "address");
--- a/packages/core/config/node_settings.h
+++ b/packages/core/config/node_settings.h
@@ -36,6 +36,7 @@
     node_address readiness;          ///< address for the load balancer's readiness checks; routes only
     node_address operators;          ///< address of metrics, status and the event log
     node_address peers;              ///< address on which other nodes are served
+    std::string source;              ///< IPv4 address from which servers are connected to; empty for any
     failure_domain domain;           ///< failure domain of the VM
     std::uint32_t capacity = 0;      ///< CPU capacity in millicores: share times speed
     duration caller_round_trip{};    ///< to callers whose connection does not tell it; routes only
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -99,7 +99,8 @@
            {"/timeline", {"application/json", [this] { return encode_events(settings_.name, log_) + "\n"; }}},
            {"/healthz", {"application/json", [] { return std::string{"{\"healthy\":true}\n"}; }}}}} {
     servers_.set_max_pause(settings_.max_pause);
-    network_ = std::make_unique<upstream_network>(poller_, clock_.timers(), servers_, make_codec());
+    network_ = std::make_unique<upstream_network>(poller_, clock_.timers(), servers_, make_codec(),
+                                                  settings_.source);
     if (settings_.interface == interface_kind::routes) {
         add_watcher(object_kind::routes, routes_min_interval);
     } else {
--- a/packages/net/client_connection.cpp
+++ b/packages/net/client_connection.cpp
@@ -32,11 +32,11 @@
 } // namespace
 
 client_connection::client_connection(socket_poller& poller, std::string_view address, message_limits limits,
-                                     client_connection_hooks hooks)
-    : poller_{poller}, address_{address}, limits_{limits}, hooks_{std::move(hooks)} {}
+                                     client_connection_hooks hooks, std::string_view source)
+    : poller_{poller}, address_{address}, source_{source}, limits_{limits}, hooks_{std::move(hooks)} {}
 
 bool client_connection::connect() {
-    fd_ = start_connect(address_, fast_keepalive_limits());
+    fd_ = start_connect(address_, fast_keepalive_limits(), source_);
     if (!fd_.is_valid())
         return false;
     watch_ = poller_.add(fd_, {false, true}, [this](socket_events events) { on_events(events); });
--- a/packages/net/client_connection.h
+++ b/packages/net/client_connection.h
@@ -43,9 +43,10 @@
      * @param address "IPv4:port"
      * @param limits size limits of each reply
      * @param hooks callbacks to the owner
+     * @param source IPv4 address to connect from; empty to let the system choose
      */
     client_connection(socket_poller& poller, std::string_view address, message_limits limits,
-                      client_connection_hooks hooks);
+                      client_connection_hooks hooks, std::string_view source = {});
     client_connection(const client_connection&) = delete;
     client_connection& operator=(const client_connection&) = delete;
     client_connection(client_connection&&) = delete;
@@ -76,6 +77,7 @@
 
     socket_poller& poller_;              ///< watches the socket
     std::string address_;                ///< "IPv4:port"
+    std::string source_;                 ///< IPv4 address to connect from; empty for any
     message_limits limits_;              ///< size limits of each reply
     client_connection_hooks hooks_;      ///< callbacks to the owner
     unique_fd fd_;                       ///< the socket
--- a/packages/net/socket_func.cpp
+++ b/packages/net/socket_func.cpp
@@ -1,6 +1,7 @@
 /** @file socket_func.cpp TCP sockets through system calls. */
 #include "net/socket_func.h"
 
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <cstdint>
@@ -87,17 +88,36 @@
     return fd;
 }
 
-unique_fd start_connect(std::string_view address, const keepalive_limits& limits) {
+unique_fd start_connect(std::string_view address, const keepalive_limits& limits, std::string_view source) {
     unique_fd fd = make_socket();
     if (!fd.is_valid())
         return fd;
     set_limits(fd, limits);
+    if (!source.empty()) {
+        // The port is chosen with the destination, so that connections to other servers may use it too.
+        set_option(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1);
+        const sockaddr_in from = to_sockaddr(std::string{source} + ":0");
+        if (::bind(fd.get(), generic(from), sizeof from) != 0)
+            return unique_fd{};
+    }
     const sockaddr_in where = to_sockaddr(address);
     if (::connect(fd.get(), generic(where), sizeof where) != 0 && errno != EINPROGRESS)
         return unique_fd{};
     return fd;
 }
 
+std::string peer_of(const unique_fd& fd) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    auto* where =
+        reinterpret_cast<sockaddr*>(&peer); // NOLINT(*-reinterpret-cast): required by the socket API
+    std::array<char, INET_ADDRSTRLEN> text{};
+    if (::getpeername(fd.get(), where, &size) != 0 ||
+        ::inet_ntop(AF_INET, &peer.sin_addr, text.data(), text.size()) == nullptr)
+        return {};
+    return text.data();
+}
+
 int socket_error(const unique_fd& fd) {
     int code = 0;
     socklen_t size = sizeof code;
--- a/packages/net/socket_func.h
+++ b/packages/net/socket_func.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "core/base/time_type.h"
@@ -28,9 +29,14 @@
  * Starts to connect; the socket becomes writable when the attempt has ended, see socket_error().
  * @param address "IPv4:port"
  * @param limits keepalive settings of the socket
+ * @param source IPv4 address to connect from; empty to let the system choose
  * @return the socket; invalid if connecting failed at once
  */
-[[nodiscard]] unique_fd start_connect(std::string_view address, const keepalive_limits& limits);
+[[nodiscard]] unique_fd start_connect(std::string_view address, const keepalive_limits& limits,
+                                      std::string_view source = {});
+
+/** @return the IPv4 address of a socket's peer; empty if there is none. */
+[[nodiscard]] std::string peer_of(const unique_fd& fd);
 
 /** @return the pending error of a socket, 0 for none; reading it clears it. */
 [[nodiscard]] int socket_error(const unique_fd& fd);
--- a/packages/net/upstream_network.cpp
+++ b/packages/net/upstream_network.cpp
@@ -32,8 +32,9 @@
 } // namespace
 
 upstream_network::upstream_network(socket_poller& poller, timer_queue& timers, dispatcher& servers,
-                                   upstream_codec codec)
-    : poller_{poller}, timers_{timers}, servers_{servers}, codec_{std::move(codec)} {}
+                                   upstream_codec codec, std::string source)
+    : poller_{poller}, timers_{timers}, servers_{servers}, codec_{std::move(codec)}, source_{
+                                                                                         std::move(source)} {}
 
 transport_hooks upstream_network::hooks_of(std::unique_ptr<upstream_network>& network) {
     return {
@@ -49,8 +50,8 @@
     hooks.connected = [this, id] { servers_.on_connected(id); };
     hooks.replied = [this, id](reply_message reply) { on_replied(id, std::move(reply)); };
     hooks.ended = [this, id](connection_end why) { on_ended(id, why); };
-    auto connection =
-        std::make_unique<client_connection>(poller_, address.value(), reply_limits, std::move(hooks));
+    auto connection = std::make_unique<client_connection>(poller_, address.value(), reply_limits,
+                                                          std::move(hooks), source_);
     if (!connection->connect())
         return false;
     links_.emplace(id, link{std::move(connection), {}});
--- a/packages/net/upstream_network.h
+++ b/packages/net/upstream_network.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -34,8 +35,10 @@
      * @param timers for deferred destruction and the time
      * @param servers receives events; must outlive this object
      * @param codec encodes and decodes attempts
+     * @param source IPv4 address to connect from; empty to let the system choose
      */
-    upstream_network(socket_poller& poller, timer_queue& timers, dispatcher& servers, upstream_codec codec);
+    upstream_network(socket_poller& poller, timer_queue& timers, dispatcher& servers, upstream_codec codec,
+                     std::string source);
 
     /** @return hooks that call this object; to be given to the dispatcher. */
     [[nodiscard]] static transport_hooks hooks_of(std::unique_ptr<upstream_network>& network);
@@ -59,6 +62,7 @@
     timer_queue& timers_;                                     ///< for deferred destruction and the time
     dispatcher& servers_;                                     ///< receives events
     upstream_codec codec_;                                    ///< encodes and decodes attempts
+    std::string source_;                                      ///< see upstream_network()
     std::unordered_map<connection_id, link> links_;           ///< connections that are open or being opened
     std::vector<std::unique_ptr<client_connection>> retired_; ///< closed, destroyed in the next iteration
 };
--- a/tests/core/config/settings_test.cpp
+++ b/tests/core/config/settings_test.cpp
@@ -64,6 +64,10 @@
     REQUIRE(parse_node_settings(whole + "[cluster]\nseeds = 127.0.0.1:5, 127.0.0.1:6\n").has_value());
     CHECK_FALSE(parse_node_settings(whole + "[cluster]\nseeds = localhost:5\n").has_value());
     CHECK_FALSE(parse_node_settings("[node]\ncallers = 127.0.0.256:1\n" + base.substr(7)).has_value());
+    CHECK(parse_node_settings("[node]\nsource = 127.0.0.9\n" + whole.substr(7)).value().source ==
+          "127.0.0.9");
+    CHECK_FALSE(parse_node_settings("[node]\nsource = eth0\n" + whole.substr(7)).has_value());
+    CHECK_FALSE(parse_node_settings("[node]\nsource = 127.0.0.9:1\n" + whole.substr(7)).has_value());
 }
 
 TEST_CASE("retry limits may be fractions, as for one share of a larger deployment's limits") {
