Add: the soak plays servers that leave in each way, and checks that nothing reaches them

Cause: stand-ins stated that they leave for at most 3 s and were killed then, so no request could be late; the soak did not know which node had sent a request, and never lost all nodes but one. Two promises, one for each rule (departure_checks), with tests that break each.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -17,6 +17,8 @@
 constexpr duration restart_time =
     std::chrono::seconds{2}; ///< for a process to be restarted by its supervisor loop in tools/soak
 constexpr duration stop_gap = std::chrono::milliseconds{700}; ///< between two nodes that are stopped in turn
+/** Time for which servers that leave go on serving; longer than nodes may take to notice. */
+constexpr duration leaving_time = std::chrono::seconds{8};
 constexpr duration link_delay = std::chrono::milliseconds{60};
 constexpr duration control_retry_delay =
     std::chrono::milliseconds{100}; ///< before a failed control call is retried
@@ -67,10 +69,13 @@
 
 void fault_injector::kill_all() {
     std::cout << "killing all nodes\n";
-    for (std::uint32_t n = 0; n < config_.nodes; ++n) {
-        signal(node_process(n), SIGKILL);
-        record_disturbance(n, restart_time, false);
-    }
+    for (std::uint32_t n = 0; n < config_.nodes; ++n)
+        kill_node(n);
+}
+
+void fault_injector::kill_node(std::uint32_t node) {
+    signal(node_process(node), SIGKILL);
+    record_disturbance(node, restart_time, false, true);
 }
 
 int fault_injector::pid_of(const std::string& process) const {
@@ -86,8 +91,9 @@
         std::cout << process << " is not running: cannot send signal " << number << "\n";
 }
 
-void fault_injector::record_disturbance(std::uint32_t node, duration length, bool is_planned) {
-    disturbances_.push_back({node, timers_.now(), timers_.now() + length, is_planned});
+void fault_injector::record_disturbance(std::uint32_t node, duration length, bool is_planned,
+                                        bool ends_process) {
+    disturbances_.push_back({node, timers_.now(), timers_.now() + length, is_planned, ends_process});
 }
 
 void fault_injector::pause(const std::string& process, duration length) {
@@ -109,7 +115,7 @@
         return;
     }
     signal(process, SIGTERM);
-    record_disturbance(node, grace + restart_time, true);
+    record_disturbance(node, grace + restart_time, true, true);
     timers_.schedule_after(grace + exit_slack, [this, process, pid] {
         if (pid_of(process) != pid || ::kill(pid, 0) != 0)
             return;
@@ -158,12 +164,17 @@
     const std::string process = node_process(it.target);
     switch (it.kind) {
     case fault_kind::node_paused:
-        record_disturbance(it.target, it.length, false);
+        record_disturbance(it.target, it.length, false, true);
         pause(process, it.length);
         break;
     case fault_kind::node_killed:
-        record_disturbance(it.target, restart_time, false);
-        signal(process, SIGKILL);
+        kill_node(it.target);
+        break;
+    case fault_kind::nodes_killed:
+        for (std::uint32_t n = 0; n < config_.nodes; ++n) {
+            if (n != it.target)
+                kill_node(n);
+        }
         break;
     case fault_kind::node_stopped:
         stop_node(it.target);
@@ -223,7 +234,11 @@
         break;
     case fault_kind::servers_leaving:
         call(config_.control_address(it.target), "/set?states_leaving=1");
-        timers_.schedule_after(it.length, [this, process] { signal(process, SIGKILL); });
+        timers_.schedule_after(leaving_time, [this, process] { signal(process, SIGKILL); });
+        break;
+    case fault_kind::servers_removed:
+        call(config_.control_address(it.target), "/set?remove_entries=1");
+        timers_.schedule_after(leaving_time, [this, process] { signal(process, SIGKILL); });
         break;
     case fault_kind::servers_slow:
         set_server_fault(it, "service_us=40000", "service_us=4000");
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -44,13 +44,14 @@
     void inject_servers_fault(const planned_fault& it);
     void inject_store_fault(const planned_fault& it);
     void pause(const std::string& process, duration length);
+    void kill_node(std::uint32_t node);
     void stop_node(std::uint32_t node);
     void reload_node(std::uint32_t node);
     void set_server_fault(const planned_fault& it, const std::string& on, const std::string& off);
     void set_mode(std::vector<std::unique_ptr<link_proxy>>& links, std::size_t first, std::size_t step,
                   link_mode mode, duration length);
     void call(const std::string& address, const std::string& path);
-    void record_disturbance(std::uint32_t node, duration length, bool is_planned);
+    void record_disturbance(std::uint32_t node, duration length, bool is_planned, bool ends_process = false);
     void signal(const std::string& process, int number) const;
     [[nodiscard]] int pid_of(const std::string& process) const;
 
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -9,20 +9,24 @@
 namespace {
 
 constexpr std::array<std::string_view, fault_kinds> names{
-    "node_paused",          "node_killed",           "node_stopped",      "nodes_stopped",
-    "node_reloaded",        "all_nodes_killed",      "servers_paused",    "servers_killed",
-    "servers_drained",      "servers_frozen",        "servers_shedding",  "servers_dropping",
-    "servers_misanswering", "servers_cutting_heads", "servers_pausing",   "servers_leaving",
-    "servers_slow",         "servers_silent",        "servers_reset",     "servers_cut",
-    "callers_delayed",      "callers_reset",         "store_link_cut",    "store_link_one_way",
-    "store_link_delayed",   "store_link_silent",     "store_paused",      "store_down",
-    "store_silent",         "store_loses_replies",   "store_loses_calls", "store_forgets",
-    "version_written"};
+    "node_paused",       "node_killed",          "node_stopped",          "nodes_stopped",
+    "node_reloaded",     "nodes_killed",         "all_nodes_killed",      "servers_paused",
+    "servers_killed",    "servers_drained",      "servers_frozen",        "servers_shedding",
+    "servers_dropping",  "servers_misanswering", "servers_cutting_heads", "servers_pausing",
+    "servers_leaving",   "servers_removed",      "servers_slow",          "servers_silent",
+    "servers_reset",     "servers_cut",          "callers_delayed",       "callers_reset",
+    "store_link_cut",    "store_link_one_way",   "store_link_delayed",    "store_link_silent",
+    "store_paused",      "store_down",           "store_silent",          "store_loses_replies",
+    "store_loses_calls", "store_forgets",        "version_written"};
 
 /** What operators and the platform do on a calm day; only then is it certain what a stop may cut off. */
 constexpr std::array planned_kinds{fault_kind::node_stopped, fault_kind::nodes_stopped,
                                    fault_kind::node_reloaded, fault_kind::version_written};
 
+/** The ways in which servers leave. */
+constexpr std::array departure_kinds{fault_kind::servers_drained, fault_kind::servers_leaving,
+                                     fault_kind::servers_leaving, fault_kind::servers_removed};
+
 constexpr std::uint64_t mean_gap_ms = 700; ///< between the starts of faults, or of series of faults
 constexpr std::uint64_t min_length_ms = 100;
 constexpr std::uint64_t max_length_ms = 3000;
@@ -30,6 +34,25 @@
 constexpr std::uint64_t series_one_in = 4;   ///< share of faults that are repeated as a series
 constexpr std::uint64_t max_in_series = 4;   ///< maximum number of faults in a series
 constexpr std::uint64_t series_gap_ms = 600;
+/** Servers that leave by their replies are often followed by the loss of all nodes but one, once nothing may
+ * reach them any more. */
+constexpr std::uint64_t nodes_lost_one_in = 2;
+constexpr std::uint64_t nodes_lost_after_ms = 3200;
+constexpr std::uint64_t nodes_lost_spread_ms = 1500;
+
+} // namespace
+
+namespace {
+
+fault_kind draw_kind(const std::function<std::uint64_t()>& random, const soak_config& config) {
+    if (config.is_planned_only())
+        return planned_kinds.at(random() % planned_kinds.size());
+    if (config.has_many_departures() && random() % 2 == 0)
+        return departure_kinds.at(random() % departure_kinds.size());
+    if (random() % versions_one_in == 0)
+        return fault_kind::version_written;
+    return static_cast<fault_kind>(random() % fault_kinds);
+}
 
 } // namespace
 
@@ -45,11 +68,7 @@
     duration at = random_ms(mean_gap_ms);
     while (at < config.fault_duration) {
         planned_fault it;
-        if (config.is_planned_only())
-            it.kind = planned_kinds.at(random() % planned_kinds.size());
-        else
-            it.kind = random() % versions_one_in == 0 ? fault_kind::version_written
-                                                      : static_cast<fault_kind>(random() % fault_kinds);
+        it.kind = draw_kind(random, config);
         const bool affects_servers =
             it.kind >= fault_kind::servers_paused && it.kind <= fault_kind::servers_cut;
         it.target = static_cast<std::uint32_t>(random() % (affects_servers ? config.replicas : config.nodes));
@@ -61,6 +80,12 @@
             const duration length = milliseconds{min_length_ms} + random_ms(max_length_ms - min_length_ms);
             it.length = std::min<duration>(length, config.fault_duration - it.at);
             plan.push_back(it);
+            const duration lost_at =
+                it.at + milliseconds{nodes_lost_after_ms} + random_ms(nodes_lost_spread_ms);
+            if (it.kind == fault_kind::servers_leaving && random() % nodes_lost_one_in == 0 &&
+                lost_at < config.fault_duration)
+                plan.push_back({lost_at, duration{0}, fault_kind::nodes_killed,
+                                static_cast<std::uint32_t>(random() % config.nodes), 0});
             next += random_ms(series_gap_ms);
         }
         at += random_ms(2 * mean_gap_ms);
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -17,6 +17,7 @@
     node_stopped,     ///< a node is stopped gracefully by SIGTERM and restarted
     nodes_stopped,    ///< all nodes but one are stopped gracefully, one after the other
     node_reloaded,    ///< a node reloads its settings on SIGHUP
+    nodes_killed,     ///< all nodes' processes but one are killed at the same time
     all_nodes_killed, ///< all nodes' processes are killed at the same time
     servers_paused,   ///< the process with one replica of every service is suspended and resumed
     servers_killed,   ///< the process with one replica of every service is killed and restarted with new IDs
@@ -28,6 +29,8 @@
     servers_cutting_heads, ///< one server runs requests, sends half of a reply's head and closes
     servers_pausing,       ///< one server rejects requests and asks for a long pause
     servers_leaving,       ///< one replica's servers state that they leave, though their entries read ready
+    servers_removed,       ///< one replica's entries are removed without a word before, and its servers go on
+                           ///< serving
     servers_slow,          ///< one server takes ten times the usual service time
     servers_silent,        ///< open connections to one replica's servers permanently stop carrying data
     servers_reset,         ///< connections to one replica's servers are reset
--- a/soak/link_proxy.cpp
+++ b/soak/link_proxy.cpp
@@ -173,7 +173,8 @@
     unique_fd client = accept_from(listener_, slow_keepalive_limits());
     if (!client.is_valid())
         return;
-    unique_fd server = start_connect(to_, slow_keepalive_limits());
+    // The other side sees who connects, as it would without the proxy.
+    unique_fd server = start_connect(to_, slow_keepalive_limits(), peer_of(client));
     if (!server.is_valid()) {
         reset_on_close(client);
         return;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -64,6 +64,10 @@
         it.disturbances = disturbances_;
         it.server_disturbances = injector_.server_disturbances();
         it.runs = read_runs(config_.directory, config_.replicas);
+        it.departures = read_departures(config_.directory, config_.replicas);
+        it.net = config_.net;
+        it.unix_ms_at_zero =
+            wall_now().time_since_epoch().count() - to_milliseconds(monotonic_now().time_since_epoch());
         it.node_exit_codes = read_exit_codes(config_.directory, config_.nodes);
         it.overdue_stops = injector_.overdue_stops();
         it.last_fault = last_fault_;
--- a/soak/result_checks.cpp
+++ b/soak/result_checks.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 #include <utility>
 
+#include "departure_checks.h"
 #include "part_func.h"
 #include "routes_text.h"
 
@@ -319,7 +320,8 @@
             std::string word;
             std::string id;
             server_run it;
-            if (fields >> word >> it.at_ms >> id >> it.service >> it.server >> it.method >> it.path &&
+            if (fields >> word >> it.at_ms >> id >> it.service >> it.server >> it.method >> it.path >>
+                    it.from &&
                 word == "run")
                 runs.emplace(std::move(id), std::move(it));
         }
@@ -350,6 +352,7 @@
     check_graceful_stops(it, out);
     check_exits(it, out);
     check_recovery(it, out);
+    check_departures(it, out);
     return out;
 }
 
--- a/soak/soak_type.h
+++ b/soak/soak_type.h
@@ -31,6 +31,11 @@
         constexpr std::uint64_t planned_one_in = 5;
         return seed % planned_one_in == 0;
     }
+    /** @return whether half of the faults are servers that leave. */
+    [[nodiscard]] bool has_many_departures() const {
+        constexpr std::uint64_t departures_one_in = 4;
+        return seed % departures_one_in == 1;
+    }
     [[nodiscard]] std::string host(std::uint32_t third, std::uint32_t last) const {
         return "127." + std::to_string(net) + "." + std::to_string(third) + "." + std::to_string(last);
     }
@@ -111,7 +116,8 @@
                             ///< lists of server disturbances
     time_point from{};
     time_point to{};
-    bool is_planned = false; ///< whether it is a graceful stop or a reload
+    bool is_planned = false;   ///< whether it is a graceful stop or a reload
+    bool ends_process = false; ///< whether the process is frozen, or ends and starts again
 };
 
 inline constexpr std::uint32_t all_nodes = 0xffff'ffff;
@@ -130,6 +136,8 @@
 inline constexpr duration grace = std::chrono::seconds{6};
 inline constexpr duration max_apply_time =
     std::chrono::seconds{3}; ///< from acknowledgement until a version must be in force
+inline constexpr duration drain_time =
+    std::chrono::seconds{3}; ///< from a server's word that it leaves until nothing may reach it
 inline constexpr duration undisturbed_time =
     std::chrono::seconds{4}; ///< time without disturbance before time limits are checked
 inline constexpr duration reply_slack = std::chrono::milliseconds{500};
--- a/standins/registration.h
+++ b/standins/registration.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -36,12 +37,18 @@
     void start(std::vector<registered_server> servers);
     /** Marks the entries as draining, at once and in all later heartbeats. */
     void drain();
+    /** Removes the entries without a word before, and writes no more. */
+    void remove();
 
 private:
     struct call_state;
 
     void send_heartbeats();
     void send(const registered_server& it, bool creates);
+    void send_removal(const registered_server& it);
+    void send_request(std::unique_ptr<call_state> state, const std::string& body);
+    /** Prints that the store took an entry that reads draining, or its removal. */
+    static void print_left(const registered_server& it, const char* how);
     static void on_reply(GObject* session, GAsyncResult* result, gpointer data);
 
     loop_clock& clock_;                      ///< the process's clock
@@ -49,6 +56,7 @@
     gobject_ptr<SoupSession> session_;       ///< connections to the store
     std::vector<registered_server> servers_; ///< registered servers
     bool draining_ = false;                  ///< see drain()
+    bool removed_ = false;                   ///< see remove()
 };
 
 } // namespace pollengrade
--- a/standins/standin_upstreams.cpp
+++ b/standins/standin_upstreams.cpp
@@ -107,18 +107,19 @@
      * platform's store. */
     void serve_forwarded(const std::string& platform, const layout& where, std::uint32_t advertised_port,
                          std::uint32_t slots) {
+        std::puts(""); // The line before it may have been cut by the end of an earlier process.
         std::vector<registered_server> entries;
         std::size_t n = 0;
         for (std::uint32_t shard = 0; shard < where.shards; ++shard) {
             for (std::uint32_t replica = where.first_replica; replica < where.first_replica + where.replicas;
                  ++replica) {
                 const forwarded_names names{where.service + "-" + std::to_string(shard),
-                                            "i-" + std::to_string(random_())};
+                                            "i-" + std::to_string(random_()),
+                                            wall_now().time_since_epoch().count()};
                 servers_.at(n++)->serve_forwarded(names);
                 entries.push_back({names.server, names.service,
                                    where.address(shard, replica, advertised_port),
-                                   "domain-" + std::to_string(replica % domains), slots,
-                                   wall_now().time_since_epoch().count()});
+                                   "domain-" + std::to_string(replica % domains), slots, names.started_ms});
             }
         }
         registration_.emplace(clock_, platform);
@@ -149,6 +150,10 @@
     /** Applies each given change to the selected servers: all, or those that match the given address, shard
      * and replica. */
     bool set(GHashTable* query) {
+        if (query_number(query, "remove_entries") && registration_) {
+            registration_->remove();
+            return true;
+        }
         const char* server = static_cast<const char*>(g_hash_table_lookup(query, "server"));
         const char* shard = static_cast<const char*>(g_hash_table_lookup(query, "shard"));
         const auto replica = query_number(query, "replica");
--- a/standins/upstream_server.cpp
+++ b/standins/upstream_server.cpp
@@ -68,10 +68,19 @@
 /** Prints the line before the request runs, so that a request is recorded even if the process is killed
  * meanwhile. */
 void print_run(const forwarded_names& names, SoupServerMessage* message, const std::string& request) {
-    std::printf("run %lld %s %s %s %s %s\n", // NOLINT(*-vararg): a fixed line
+    std::printf("run %lld %s %s %s %s %s %s\n", // NOLINT(*-vararg): a fixed line
                 static_cast<long long>(wall_now().time_since_epoch().count()), request.c_str(),
-                names.service.c_str(), names.server.c_str(), soup_server_message_get_method(message),
-                g_uri_get_path(soup_server_message_get_uri(message)));
+                names.service.c_str(), names.incarnation().c_str(), soup_server_message_get_method(message),
+                g_uri_get_path(soup_server_message_get_uri(message)),
+                soup_server_message_get_remote_host(message));
+    std::fflush(stdout);
+}
+
+/** Prints that an answer states that its server leaves. */
+void print_leaving(const forwarded_names& names, SoupServerMessage* message, const std::string& request) {
+    std::printf("leaving %lld %s %s %s\n", // NOLINT(*-vararg): a fixed line
+                static_cast<long long>(wall_now().time_since_epoch().count()), request.c_str(),
+                names.incarnation().c_str(), soup_server_message_get_remote_host(message));
     std::fflush(stdout);
 }
 
@@ -293,6 +302,8 @@
     SoupMessageHeaders* headers = soup_server_message_get_response_headers(it.message);
     soup_message_headers_replace(headers, wire_names::request_id,
                                  behaviour_.wrong_request ? "another" : it.request.c_str());
+    if (soup_message_headers_get_one(headers, wire_names::server_leaving) != nullptr)
+        print_leaving(*names_, it.message, it.request);
     soup_message_headers_replace(headers, wire_names::signature,
                                  signature_of(it.request, names_->service, names_->server).c_str());
     soup_server_message_set_status(it.message, SOUP_STATUS_OK, nullptr);
--- a/standins/upstream_server.h
+++ b/standins/upstream_server.h
@@ -46,6 +46,11 @@
 struct forwarded_names {
     std::string service; ///< service that it provides
     std::string server;  ///< its ID in the platform's store
+    std::int64_t started_ms =
+        0; ///< start of the server, Unix milliseconds; a later start may have the same ID
+
+    /** @return the server in one of its starts, as nodes name it in their logs. */
+    [[nodiscard]] std::string incarnation() const { return server + "@" + std::to_string(started_ms); }
 };
 
 /** Counters shared by all stand-in servers of a process. */
--- a/tests/soak/result_checks_test.cpp
+++ b/tests/soak/result_checks_test.cpp
@@ -27,6 +27,8 @@
     runs_by_request runs;
     std::vector<int> exit_codes{0, 128 + SIGKILL};
     std::uint32_t overdue_stops = 0;
+    departure_records departures;
+    std::uint32_t net = 20;
 
     static time_point at(std::int64_t ms) { return time_point{} + seconds{100} + milliseconds{ms}; }
 
@@ -61,6 +63,7 @@
         one.server = server;
         one.method = it.kind == route_kind::order ? "POST" : "GET";
         one.path = path_of(it.kind, it.version) + it.id;
+        one.from = "127.20.250." + std::to_string(it.node + 1);
         runs.emplace(it.id, one);
     }
 
@@ -100,6 +103,8 @@
         all.runs = runs;
         all.node_exit_codes = exit_codes;
         all.overdue_stops = overdue_stops;
+        all.departures = departures;
+        all.net = net;
         all.last_fault = at(0) - max_recovery_time;
         std::vector<std::string> names;
         for (const violation& it : check_results(all))
@@ -243,3 +248,55 @@
     }
     CHECK(it.failed_checks() == names{"recovery"});
 }
+
+namespace {
+
+/** The first lookup of a run, in whose answer the server stated that it leaves. */
+request_record& leave_by_answer(passing_run& it, const std::string& reader) {
+    request_record& record = it.first(route_kind::lookup);
+    it.departures.answers.push_back({record.id, "desk-6-a", reader});
+    return record;
+}
+
+std::size_t count_of(const names& list, const std::string& name) {
+    return static_cast<std::size_t>(std::count(list.begin(), list.end(), name));
+}
+
+} // namespace
+
+TEST_CASE("a request sent after its node had passed on a server's word that it leaves is reported") {
+    passing_run it;
+    const request_record& record = leave_by_answer(it, "127.20.250.1");
+    const auto late = static_cast<std::size_t>(
+        std::count_if(it.records.begin(), it.records.end(), [&](const request_record& one) {
+            const bool is_at_server = one.kind == route_kind::lookup || one.kind == route_kind::versioned;
+            return is_at_server && one.sent > record.ended + drain_time;
+        }));
+    REQUIRE(late > 0);
+    CHECK(count_of(it.failed_checks(), "leaving by answers") == late);
+    // Another node's requests do not count, whoever read the answer.
+    for (request_record& one : it.records) {
+        if (one.sent > record.ended + drain_time)
+            one.node = 1;
+    }
+    for (auto& [id, run] : it.runs)
+        run.from = "127.20.250.2";
+    CHECK(count_of(it.failed_checks(), "leaving by answers") == 0);
+    leave_by_answer(it, "127.20.250.2");
+    CHECK(count_of(it.failed_checks(), "leaving by answers") == late);
+    // A node that was frozen or started again need not remember; one that was only cut off must.
+    it.disturbances.push_back({1, record.ended + seconds{1}, record.ended + seconds{1}, false, false});
+    CHECK(count_of(it.failed_checks(), "leaving by answers") == late);
+    it.disturbances.back().ends_process = true;
+    CHECK(count_of(it.failed_checks(), "leaving by answers") == 0);
+}
+
+TEST_CASE("a request that reaches a server long after the store acknowledged that it leaves is reported") {
+    passing_run it;
+    const std::int64_t left_at = (it.first(route_kind::lookup).sent - time_point{}) / milliseconds{1};
+    it.departures.acknowledged.push_back({left_at, "desk-6-a"});
+    CHECK(count_of(it.failed_checks(), "leaving by the store") > 0);
+    // Only while the store is undisturbed.
+    it.disturbances.push_back({all_nodes, passing_run::at(4000), passing_run::at(4001), false});
+    CHECK(count_of(it.failed_checks(), "leaving by the store") == 0);
+}
