Fix: a short loss of contact to the store is not taken for an outage in which entries lapse

Cause: after any failed call a node doubted each removal for 2.5 s, and peers took the doubt with the removal. Where some nodes watch the store for all, and these lose contact for about a second together, the others hear of the removal only afterwards, and then for 2.5 s more not for good: more than 3 s after the store acknowledged it. Evidence: 'a removal is not doubted after a loss of contact too short for an entry to lapse' failed before, on the node itself and on a peer that learns of it; the other new test guards the doubt. Why it works: an entry lapses after three heartbeats without a write, so not within one and a half of the store's last known answer, to this node or a peer. Remains: a loss of contact between 1.8 s and the 2.1 s after which other nodes ask the store themselves.

--- a/packages/core/cluster/registry_sync.cpp
+++ b/packages/core/cluster/registry_sync.cpp
@@ -19,10 +19,13 @@
     : timers_{timers}, counts_{counts}, servers_{servers}, hooks_{std::move(hooks)} {}
 
 void registry_sync::on_store_reached(bool reached) {
+    const time_point answered_before = last_answer_;
+    if (reached)
+        last_answer_ = timers_.now();
     if (std::exchange(reached_, reached) == reached)
         return;
     if (reached) {
-        servers_.on_store_regained();
+        servers_.on_store_regained(timers_.now() - answered_before);
         return;
     }
     if (!pull_timer_)
--- a/packages/core/cluster/registry_sync.h
+++ b/packages/core/cluster/registry_sync.h
@@ -1,6 +1,7 @@
 /** @file registry_sync.h Pulls the registry from peers when the platform's store does not deliver it. */
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 
@@ -32,8 +33,10 @@
 public:
     registry_sync(timer_queue& timers, metrics& counts, registry& servers, registry_sync_hooks hooks);
 
-    /** Records whether the store answers. */
+    /** Records whether the store answers, after each call to it. */
     void on_store_reached(bool reached);
+    /** Records that the store answered a peer at a time, which shows that it was not away then. */
+    void on_store_answered_peer(time_point at) { last_answer_ = std::max(last_answer_, at); }
     /** Sets whether this node watches the store itself; if not, every change comes from peers. */
     void set_watching_store(bool is_watching) { watching_store_ = is_watching; }
     /** Compares the registry revision of a peer with the local one, and pulls if the peer is ahead, after a
@@ -49,6 +52,7 @@
     registry& servers_;                       ///< the registry kept current
     registry_sync_hooks hooks_;               ///< network callbacks
     bool reached_ = true;                     ///< whether the store answers
+    time_point last_answer_{};                ///< when it last answered, this node or a peer, as far as known
     bool watching_store_ = true;              ///< see set_watching_store()
     bool pulling_ = false;                    ///< whether a pull is in progress; at most one is
     std::optional<timer_id> pull_timer_;      ///< the next pull_periodically()
--- a/packages/core/upstreams/registry.cpp
+++ b/packages/core/upstreams/registry.cpp
@@ -33,11 +33,15 @@
         return false;
     // Peers in the earlier era must be sent all entries, and servers that the copy lacks register again.
     clear_changes();
-    on_store_regained();
+    delay_removals_until_ = timers_.now() + reregistration_time;
     return true;
 }
 
-void registry::on_store_regained() {
+void registry::on_store_regained(duration silence) {
+    // A server writes three times in the lifetime of an entry, so it had last written a third of it before
+    // the silence, or little more.
+    if (silence < settings_.entry_lifetime / 2)
+        return;
     delay_removals_until_ = timers_.now() + reregistration_time;
 }
 
--- a/packages/core/upstreams/registry.h
+++ b/packages/core/upstreams/registry.h
@@ -77,8 +77,12 @@
     void apply(const object_changes& changes);
     /** Applies an update from a peer. @return whether its revision was newer than the local one */
     bool take(const registry_update& other);
-    /** Called when the store answers again after an outage: delays removals received from now on. */
-    void on_store_regained();
+    /**
+     * Called when the store answers again: delays removals received from now on, unless no entry can have
+     * expired for want of a store.
+     * @param silence time since the store was last known to answer
+     */
+    void on_store_regained(duration silence);
 
     /** @return the changes that a peer at revision @p held lacks, or all entries; empty if it lacks none. */
     [[nodiscard]] registry_update update_after(object_version held) const;
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -116,6 +116,8 @@
 }
 
 void cluster::take_confirmation(const node_knowledge& peer, time_point asked_at) {
+    if (peer.confirmation_age)
+        registry_.on_store_answered_peer(asked_at - *peer.confirmation_age);
     const bool holds_all =
         peer.config_digest == store_.digest() && peer.registry_changed <= servers_.revision();
     if (peer.confirmation_age && holds_all)
--- a/tests/core/cluster/registry_sync_test.cpp
+++ b/tests/core/cluster/registry_sync_test.cpp
@@ -21,6 +21,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr duration outage = std::chrono::seconds{10}; ///< long enough for entries to lapse
+
 /** @return an update with all entries, as a peer sends it. */
 registry_update full_update(std::uint64_t revision, const std::vector<server_entry>& entries) {
     registry_update it{object_version{revision}, true, {}};
@@ -53,6 +55,14 @@
         }};
 };
 
+/** Hooks of a node that knows no other node. */
+registry_sync_hooks hooks_without_peers() {
+    registry_sync_hooks it;
+    it.draw = [] { return std::optional<node_address>{}; };
+    it.update_applied = [] {};
+    return it;
+}
+
 } // namespace
 
 TEST_CASE("neither the store nor a peer changes the registry with an older revision") {
@@ -78,7 +88,7 @@
 TEST_CASE("entries that expired during a store outage are removed only after a delay for reregistration") {
     registry_fixture it;
     it.list(10, {entry_of("a", 3), entry_of("b", 4), entry_of("c", 5)});
-    it.servers.on_store_regained();
+    it.servers.on_store_regained(outage);
     it.change(11, entry_of("a", 3), true);
     it.change(12, entry_of("b", 4), true);
     it.advance(2000);
@@ -106,7 +116,7 @@
                                {{lapsed, entry_state::removal_pending}, {rewritten, entry_state::present}}};
     REQUIRE(node.servers.take(both));
     REQUIRE(peer.servers.take(both));
-    node.servers.on_store_regained();
+    node.servers.on_store_regained(outage);
     node.servers.apply({object_version{21}, {{object_of(lapsed), true}, {object_of(rewritten), false}}});
     peer.servers.take(node.servers.update_after(peer.servers.revision()));
     peer.advance(10'000);
@@ -133,7 +143,7 @@
     registry_fixture peer;
     node.list(10, {entry_of("a", 3)});
     peer.list(10, {entry_of("a", 3)});
-    node.servers.on_store_regained();
+    node.servers.on_store_regained(outage);
     node.change(11, entry_of("a", 3), true);
     peer.servers.take(node.servers.update_after(object_version{10}));
     // A later list contains the same entry, so the pending removal is cancelled.
@@ -149,7 +159,7 @@
     registry_fixture far;
     for (registry_fixture* it : {&node, &peer, &far})
         it->list(10, {entry_of("a", 3)});
-    node.servers.on_store_regained();
+    node.servers.on_store_regained(outage);
     node.change(11, entry_of("a", 3), true);
     const auto advance = [&](std::int64_t ms) {
         for (registry_fixture* it : {&node, &peer, &far})
@@ -195,7 +205,7 @@
                     events.push_back({object_of(gone.mapped()), true});
                 break;
             case 1:
-                node.servers.on_store_regained();
+                node.servers.on_store_regained(outage);
                 break;
             case 2:
                 node.advance(static_cast<std::int64_t>(random() % 3000));
@@ -250,7 +260,7 @@
                     watching.change(revision, entry_of(name, revision), true);
                 break;
             case 1:
-                watching.servers.on_store_regained();
+                watching.servers.on_store_regained(outage);
                 break;
             case 2:
                 watching.advance(static_cast<std::int64_t>(random() % 3000));
@@ -345,4 +355,37 @@
     CHECK(pulls == 1);
 }
 
+TEST_CASE("a removal is not doubted after a loss of contact too short for an entry to lapse") {
+    registry_fixture near;
+    registry_fixture far;
+    registry_sync sync{near.timers, near.counts, near.servers, hooks_without_peers()};
+    near.list(10, {entry_of("a", 3), entry_of("b", 4)});
+    far.list(10, {entry_of("a", 3), entry_of("b", 4)});
+    sync.on_store_reached(true);
+    near.advance(500);
+    sync.on_store_reached(false);
+    near.advance(1200);
+    sync.on_store_reached(true);
+    near.change(11, entry_of("a", 11), true);
+    CHECK(near.gone == std::vector<std::string>{"a@1"});
+    // Nor is it by a node that learns of it from this one.
+    far.servers.take(near.servers.update_after(object_version{10}));
+    CHECK(far.gone == std::vector<std::string>{"a@1"});
+}
+
+TEST_CASE("a removal is doubted after a loss of contact in which entries may have lapsed") {
+    registry_fixture it;
+    registry_sync sync{it.timers, it.counts, it.servers, hooks_without_peers()};
+    it.list(10, {entry_of("a", 3), entry_of("b", 4)});
+    sync.on_store_reached(true);
+    it.advance(1000);
+    sync.on_store_reached(false);
+    it.advance(1500);
+    sync.on_store_reached(true);
+    it.change(11, entry_of("a", 11), true);
+    CHECK(it.gone.empty());
+    it.advance(2500);
+    CHECK(it.gone == std::vector<std::string>{"a@1"});
+}
+
 } // namespace pollengrade
