--- a/packages/core/upstreams/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -150,6 +150,9 @@
 
     upstream* at(const upstream_id& id);
     [[nodiscard]] const replica_set* set_of(const replica_set_name& name) const;
+    /** @return the servers of a set that take requests and are not known to be unreachable. */
+    [[nodiscard]] std::vector<const upstream*> reachable_servers(const replica_set& set,
+                                                                 std::span<const upstream_id> excluded) const;
     std::optional<upstream_id> choose_server(const attempt_request& request);
     void transmit(attempt_id id, const upstream_id& server);
     void dispatch_waiting(const replica_set_name& name);
--- a/packages/core/upstreams/dispatcher_results.cpp
+++ b/packages/core/upstreams/dispatcher_results.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-/** Interval of checks while requests are in flight. */
 /** After a pause, nodes wait for a random time up to this part of it, and up to this time. */
 constexpr int resume_spread_part = 8;
 constexpr duration max_resume_spread = std::chrono::milliseconds{500};
+/** Interval of checks while requests are in flight. */
 constexpr duration response_check_period = std::chrono::milliseconds{50};
 
 } // namespace
