--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -78,7 +78,8 @@
       server_{clock, log, make_peer_hooks()},
       live_update_{clock.timers(), live_min_interval,
                    [this] { hooks_.live_changed(membership_.live_members()); }},
-      address_{settings.peers}, is_routed_{settings.interface == interface_kind::routes} {}
+      watch_order_{settings.peers}, address_{settings.peers}, is_routed_{settings.interface ==
+                                                                         interface_kind::routes} {}
 
 membership_hooks cluster::make_membership_hooks() {
     membership_hooks it;
@@ -142,12 +143,12 @@
 
 freshness_hooks cluster::make_freshness_hooks() {
     freshness_hooks it;
-    it.watcher_rank = [this] { return is_routed_ ? watcher_rank() : relay_rank(); };
+    it.watcher_rank = [this] { return is_routed_ ? watch_order_.rank() : relay_rank(); };
     it.node_count = [this] { return membership_.live().size(); };
     it.ask_watcher = [this](std::uint32_t asked_before) { ask_watcher(asked_before); };
     it.ask = [this](const node_address& node) { membership_.send_gossip(node); };
     it.tell_watchers = [this] {
-        for (const node_address& watcher : is_routed_ ? store_watchers_ : relays())
+        for (const node_address& watcher : is_routed_ ? watch_order_.watchers() : relays())
             membership_.send_gossip(watcher);
     };
     it.check_store = [this] { hooks_.check_store(); };
@@ -155,15 +156,8 @@
     return it;
 }
 
-std::optional<std::size_t> cluster::watcher_rank() const {
-    const auto it = std::find(store_watchers_.begin(), store_watchers_.end(), address_);
-    if (it == store_watchers_.end())
-        return std::nullopt;
-    return static_cast<std::size_t>(it - store_watchers_.begin());
-}
-
 void cluster::ask_watcher(std::uint32_t asked_before) {
-    std::vector<node_address> watchers = is_routed_ ? store_watchers_ : relays();
+    std::vector<node_address> watchers = is_routed_ ? watch_order_.watchers() : relays();
     const bool is_watcher = std::erase(watchers, address_) > 0;
     if (watchers.empty())
         return;
@@ -283,16 +277,16 @@
 }
 
 void cluster::set_store_watchers(bool divided, bool is_store_watcher,
-                                 std::vector<node_address> store_watchers) {
+                                 std::span<const node_address> store_watchers) {
     divided_ = divided;
     is_store_watcher_ = is_store_watcher;
-    store_watchers_ = pick_by_rendezvous("watch the store", store_watchers, store_watchers.size());
+    watch_order_.set(divided, store_watchers, membership_.live());
     registry_.set_watching_store(is_store_watcher);
     if (is_routed_)
         config_gossip_.set_push_fanout(divided ? divided_push_fanout : 0);
     config_gossip_.set_local_first(divided);
     if (is_routed_)
-        freshness_.set_needed(divided);
+        freshness_.set_needed(watch_order_.needs_confirmations());
 }
 
 void cluster::announce() {
@@ -316,7 +310,8 @@
 std::vector<member> cluster::store_watcher_members() const {
     std::vector<member> list;
     for (const member& it : membership_.live_members()) {
-        if (std::find(store_watchers_.begin(), store_watchers_.end(), it.address) != store_watchers_.end())
+        const auto& watchers = watch_order_.watchers();
+        if (std::find(watchers.begin(), watchers.end(), it.address) != watchers.end())
             list.push_back(it);
     }
     return list;
--- a/packages/daemon/cluster.h
+++ b/packages/daemon/cluster.h
@@ -15,6 +15,7 @@
 #include "core/cluster/membership.h"
 #include "core/cluster/registry_sync.h"
 #include "core/cluster/store_freshness.h"
+#include "core/cluster/store_watch_order.h"
 #include "core/config/config_store.h"
 #include "core/config/node_settings.h"
 #include "core/queries/delegation.h"
@@ -66,7 +67,8 @@
      * @param is_store_watcher whether this node watches the store
      * @param store_watchers the nodes that watch the store; empty if all nodes do
      */
-    void set_store_watchers(bool divided, bool is_store_watcher, std::vector<node_address> store_watchers);
+    void set_store_watchers(bool divided, bool is_store_watcher,
+                            std::span<const node_address> store_watchers);
     /** Records that the store confirmed all that nodes pass on to each other. */
     void on_store_confirmed(time_point asked_at) { freshness_.on_store_answer(asked_at); }
     /**
@@ -95,7 +97,6 @@
     [[nodiscard]] std::vector<member> store_watcher_members() const;
     [[nodiscard]] std::vector<node_address> relays() const;
     [[nodiscard]] std::optional<std::size_t> relay_rank() const;
-    [[nodiscard]] std::optional<std::size_t> watcher_rank() const;
     [[nodiscard]] std::vector<node_address> nodes_to_announce_to() const;
     [[nodiscard]] node_knowledge knowledge() const;
     [[nodiscard]] object_version routes_version_held() const;
@@ -108,28 +109,28 @@
     registry_sync_hooks make_registry_hooks();
     peer_hooks make_peer_hooks();
 
-    loop_clock& clock_;                        ///< clock and timers of the main loop
-    event_log& log_;                           ///< the event log
-    metrics& counts_;                          ///< counters
-    cluster_hooks hooks_;                      ///< callbacks to the node
-    config_store& store_;                      ///< local configuration
-    registry& servers_;                        ///< local registry
-    kj_loop kj_loop_;                          ///< must outlive all members that use promises
-    peer_client client_;                       ///< calls to peers
-    membership membership_;                    ///< the known nodes and their states
-    config_gossip config_gossip_;              ///< exchanges configuration with peers
-    registry_sync registry_;                   ///< pulls the registry from peers
-    store_freshness freshness_;                ///< when the store last confirmed what this node knows
-    peer_server server_;                       ///< serves calls from peers
-    throttled_action live_update_;             ///< calls live_changed once for several changes
-    node_address address_;                     ///< address of the listener for peers
-    bool is_routed_;                           ///< whether the node serves callers by the users' routes
-    bool divided_ = false;                     ///< see set_store_watchers()
-    bool is_store_watcher_ = true;             ///< see set_store_watchers()
-    std::vector<node_address> store_watchers_; ///< see set_store_watchers(); the first to check comes first
-    bool announcement_scheduled_ = false;      ///< whether announce() has scheduled a notification
-    bool store_reached_ = true;                ///< whether the platform's store answers
-    bool pull_scheduled_ = false;              ///< whether the next pull is scheduled
+    loop_clock& clock_;                   ///< clock and timers of the main loop
+    event_log& log_;                      ///< the event log
+    metrics& counts_;                     ///< counters
+    cluster_hooks hooks_;                 ///< callbacks to the node
+    config_store& store_;                 ///< local configuration
+    registry& servers_;                   ///< local registry
+    kj_loop kj_loop_;                     ///< must outlive all members that use promises
+    peer_client client_;                  ///< calls to peers
+    membership membership_;               ///< the known nodes and their states
+    config_gossip config_gossip_;         ///< exchanges configuration with peers
+    registry_sync registry_;              ///< pulls the registry from peers
+    store_freshness freshness_;           ///< when the store last confirmed what this node knows
+    peer_server server_;                  ///< serves calls from peers
+    throttled_action live_update_;        ///< calls live_changed once for several changes
+    store_watch_order watch_order_;       ///< which nodes watch the store; the first to check comes first
+    node_address address_;                ///< address of the listener for peers
+    bool is_routed_;                      ///< whether the node serves callers by the users' routes
+    bool divided_ = false;                ///< see set_store_watchers()
+    bool is_store_watcher_ = true;        ///< see set_store_watchers()
+    bool announcement_scheduled_ = false; ///< whether announce() has scheduled a notification
+    bool store_reached_ = true;           ///< whether the platform's store answers
+    bool pull_scheduled_ = false;         ///< whether the next pull is scheduled
 };
 
 } // namespace pollengrade
