Fix: nodes that all watch the store notice that a watch is lost

Cause: a watch whose connection the store, or a cut while it answered, has lost brings nothing more and stays open for up to 30 s. Class: a dependency whose silence nobody notices. Change: confirmations are needed wherever there are watchers; where all nodes watch, all live nodes are the order of watchers. Why it works: the first of them checks the store twice a second, the others compare with it twice a second, and a node without a confirmation for half of apply_ms asks the store itself; a check that finds changes ends the lost watch. Cost: two calls a kind and second for the whole fleet.

--- a/packages/core/cluster/store_watch_order.cpp
+++ b/packages/core/cluster/store_watch_order.cpp
@@ -9,7 +9,6 @@
 
 void store_watch_order::set(bool divided, std::span<const node_address> holders,
                             std::span<const node_address> live) {
-    divided_ = divided;
     const std::span<const node_address> chosen = divided ? holders : live;
     watchers_ = pick_by_rendezvous("watch the store", {chosen.begin(), chosen.end()}, chosen.size());
 }
--- a/packages/core/cluster/store_watch_order.h
+++ b/packages/core/cluster/store_watch_order.h
@@ -27,8 +27,11 @@
      */
     void set(bool divided, std::span<const node_address> holders, std::span<const node_address> live);
 
-    /** @return whether nodes need the store's confirmations, see store_freshness. */
-    [[nodiscard]] bool needs_confirmations() const noexcept { return divided_; }
+    /**
+     * @return whether nodes need the store's confirmations, see store_freshness: also a node that watches the
+     * store itself can't tell a lost watch from a quiet one
+     */
+    [[nodiscard]] bool needs_confirmations() const noexcept { return !watchers_.empty(); }
     /** @return this node's rank, from 0, among the watchers; nullopt if it is none. */
     [[nodiscard]] std::optional<std::size_t> rank() const;
     /** @return the watchers; the first to check the store comes first. */
@@ -36,7 +39,6 @@
 
 private:
     node_address self_;                  ///< address of this node
-    bool divided_ = false;               ///< see set()
     std::vector<node_address> watchers_; ///< see watchers()
 };
 
--- a/tests/core/cluster/lost_watch_test.cpp
+++ b/tests/core/cluster/lost_watch_test.cpp
@@ -212,7 +212,8 @@
     it.ask_watcher = [&world, &node, index](std::uint32_t asked_before) {
         std::vector<node_address> others = node.order.watchers();
         std::erase(others, address_of(index));
-        world.gossip(index, world.index_of(others.at(asked_before % 2)));
+        world.gossip(index,
+                     world.index_of(others.at(asked_before % std::min<std::size_t>(2, others.size()))));
     };
     it.ask = [&world, index](const node_address& to) { world.gossip(index, world.index_of(to)); };
     it.tell_watchers = [] {};
