Cleanup: the log names another node as the source of a departure, whichever of the two told it

Reads oddly before: cause=holder also on a holder that was told by the node it works for; the soak's plan had two unnamed namespaces.

--- a/packages/core/upstreams/dispatcher.cpp
+++ b/packages/core/upstreams/dispatcher.cpp
@@ -77,7 +77,7 @@
             ++counts_.counter("departures_from_nodes");
         departures_.note(it.id, now, now - it.age);
         if (const upstream* server = find(it.id))
-            note_leaving(it.id, server->incarnation(), {leaving_source::holder, {}, it.age});
+            note_leaving(it.id, server->incarnation(), {leaving_source::other_node, {}, it.age});
     }
 }
 
--- a/packages/core/upstreams/leaving_type.h
+++ b/packages/core/upstreams/leaving_type.h
@@ -15,7 +15,7 @@
     removal,      ///< the entry was removed
     reply,        ///< the server's own reply
     wrong_server, ///< another server replied at the address
-    holder,       ///< a holder's answer to a delegated query
+    other_node,   ///< another node, with a delegated query or its answer
 };
 
 /** @return the name used in logs. */
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -40,10 +40,6 @@
 constexpr std::uint64_t nodes_lost_after_ms = 3200;
 constexpr std::uint64_t nodes_lost_spread_ms = 1500;
 
-} // namespace
-
-namespace {
-
 fault_kind draw_kind(const std::function<std::uint64_t()>& random, const soak_config& config) {
     if (config.is_planned_only())
         return planned_kinds.at(random() % planned_kinds.size());
