Cleanup: finding of the linter in the test of lost watches

Cause: a callback taken by value, where a reference is enough. Evidence: the linter is silent on the file; both tests of it pass. Change: one parameter; nothing else.

--- a/tests/core/cluster/lost_watch_test.cpp
+++ b/tests/core/cluster/lost_watch_test.cpp
@@ -195,7 +195,7 @@
 registry_sync_hooks sync_hooks(fleet& world, std::size_t index) {
     registry_sync_hooks it;
     it.pull = [&world](const node_address& from, object_version later_than,
-                       registry_sync_hooks::pulled done) {
+                       const registry_sync_hooks::pulled& done) {
         world.timers().schedule_after(2 * one_way, [&world, n = world.index_of(from), later_than, done] {
             done(world.at(n).servers.update_after(later_than));
         });
