Fix: a reply whose status is not from 100 to 599 is no reply

With 000 and 099 the server kept its full share of the load, since only a status from 500 up counts as a failure. An interim reply 000 ended the exchange as if it were the final one. Cause: Boost.Beast's parser takes any three digits for a status, and so did ours. Everything behind it judges by ranges (500 and up, class 2) in which 0 is not a failure. Ruled out: the writer of answers and the decoders behind the parser; they pass on what the parser reports. Two, four or signed digits are refused by the library. Change: the parser refuses a status outside RFC 9110's classes (is_valid_status). Every reader of answers uses this parser: requests of routes, parts, the own interface's shards, the store's client, the command line, the soak's callers. The connection ends as "unreadable". Why it works: such an end counts as a failure of the server, takes from the retry budget, and never as "not run"; tests/platform/broken_answer_test.cpp shows that (it passed before: already handled).

--- a/packages/core/base/message_type.cpp
+++ b/packages/core/base/message_type.cpp
@@ -1,4 +1,4 @@
-/** @file message_type.cpp Lookup of HTTP header fields. */
+/** @file message_type.cpp Status codes and lookup of header fields. */
 #include "core/base/message_type.h"
 
 #include <algorithm>
@@ -7,12 +7,20 @@
 
 namespace {
 
+// RFC 9110, section 15.
+constexpr unsigned min_status = 100;
+constexpr unsigned max_status = 599;
+
 char to_lower(char c) {
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
 } // namespace
 
+bool is_valid_status(unsigned status) {
+    return status >= min_status && status <= max_status;
+}
+
 bool is_same_name(std::string_view a, std::string_view b) {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(),
                       [](char x, char y) { return to_lower(x) == to_lower(y); });
--- a/packages/core/base/message_type.h
+++ b/packages/core/base/message_type.h
@@ -38,6 +38,8 @@
     bool keep_alive = true; ///< whether the sender keeps the connection open
 };
 
+/** @return whether HTTP defines a class for the status code; a message with another one is no reply. */
+[[nodiscard]] bool is_valid_status(unsigned status);
 /** @return whether two header names are equal, ignoring case. */
 [[nodiscard]] bool is_same_name(std::string_view a, std::string_view b);
 /** @return the first field with this name; null if there is none. */
--- a/packages/net/message_parser.cpp
+++ b/packages/net/message_parser.cpp
@@ -64,9 +64,12 @@
         }
     }
 
-    void on_response_impl(int code, text, int, error_code&) override {
-        if constexpr (!IsRequest)
+    void on_response_impl(int code, text, int, error_code& ec) override {
+        if constexpr (!IsRequest) {
             message_.status = static_cast<unsigned>(code);
+            if (!is_valid_status(message_.status))
+                ec = http::error::bad_status;
+        }
     }
 
     void on_field_impl(http::field name, text name_text, text value, error_code& ec) override {
