Fix: an unasked switch of protocols ends the exchange

What callers saw: a server answered 101 and then sent bytes of its choice; if these looked like a reply, callers got them as the answer. Cause: 101 counted as an interim reply like 100 or 103, after which the next reply is read. No request of ours asks for another protocol (Upgrade is not forwarded), so RFC 9110, section 15.2.2, does not allow the server to switch, and what follows is not HTTP by the server's own word. Change: the parser refuses a 101. Other interim replies are skipped as before (checked: 100, 102, 103).

--- a/packages/net/message_parser.cpp
+++ b/packages/net/message_parser.cpp
@@ -22,6 +22,8 @@
 /** Bytes of chunk framing allowed for each body byte; a one-byte chunk needs five. */
 constexpr std::size_t max_framing_ratio = 8;
 
+constexpr unsigned switching_protocols_status = 101;
+
 /** @return whether a header line is folded onto the next line, which parsers treat differently. */
 bool has_folded_line(std::string_view header) {
     for (auto it = header.find("\r\n"); it != std::string_view::npos; it = header.find("\r\n", it + 2)) {
@@ -67,7 +69,8 @@
     void on_response_impl(int code, text, int, error_code& ec) override {
         if constexpr (!IsRequest) {
             message_.status = static_cast<unsigned>(code);
-            if (!is_valid_status(message_.status))
+            // No request asks to switch protocols, and what follows the switch is not HTTP.
+            if (!is_valid_status(message_.status) || message_.status == switching_protocols_status)
                 ec = http::error::bad_status;
         }
     }
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -25,6 +25,7 @@
     std::string first; ///< sent at once
     std::string later; ///< sent when the client has reported, or after a timeout; empty for nothing
     server_end end = server_end::stays; ///< how the connection ends
+    int wait_ms = 200;                  ///< timeout before `later`
 };
 
 /** What a connection reported to its owner. */
@@ -45,7 +46,7 @@
     std::array<char, 1024> buf{};
     ::recv(fd, buf.data(), buf.size(), 0);
     ::send(fd, it.first.data(), it.first.size(), MSG_NOSIGNAL);
-    for (int n = 0; n < 200 && !at.reported; ++n)
+    for (int n = 0; n < it.wait_ms && !at.reported; ++n)
         ::usleep(1000); // Continues after a timeout if the first reply is incomplete.
     ::send(fd, it.later.data(), it.later.size(), MSG_NOSIGNAL);
     if (it.end == server_end::resets) {
