Fix: a chunked message of HTTP/1.0 is no message

What callers saw: a server answered with HTTP/1.0 and Transfer-Encoding: chunked; callers got the decoded chunks as the whole answer. Cause: the library decodes chunks in any version. HTTP/1.0 has no transfer codings, so such a message comes from a sender that mixes versions, or from something between that passed the field on without reading it; RFC 9112, section 6.1, has it treated as faulty framing. Where its body ends is a guess, and a wrong guess hands out a body that is not the server's. Ruled out: refusing HTTP/1.0 as such. Replies of that version with a length, or up to the end of the connection, are taken as before (checked). Change: the parser refuses the field in a version below 1.1, in replies and in requests alike; for requests the same reading is a way to hide one request in another.

--- a/packages/net/message_parser.cpp
+++ b/packages/net/message_parser.cpp
@@ -22,6 +22,7 @@
 /** Bytes of chunk framing allowed for each body byte; a one-byte chunk needs five. */
 constexpr std::size_t max_framing_ratio = 8;
 
+constexpr int first_chunked_version = 11; ///< HTTP/1.1
 constexpr unsigned switching_protocols_status = 101;
 
 /** @return whether a header line is folded onto the next line, which parsers treat differently. */
@@ -59,14 +60,16 @@
     [[nodiscard]] const message_limits& limits() const noexcept { return limits_; }
 
 private:
-    void on_request_impl(http::verb, text method, text target, int, error_code&) override {
+    void on_request_impl(http::verb, text method, text target, int version, error_code&) override {
+        version_ = version;
         if constexpr (IsRequest) {
             message_.method.assign(method.data(), method.size());
             message_.target.assign(target.data(), target.size());
         }
     }
 
-    void on_response_impl(int code, text, int, error_code& ec) override {
+    void on_response_impl(int code, text, int version, error_code& ec) override {
+        version_ = version;
         if constexpr (!IsRequest) {
             message_.status = static_cast<unsigned>(code);
             // No request asks to switch protocols, and what follows the switch is not HTTP.
@@ -80,7 +83,9 @@
             return; // Ignores trailers after the last chunk.
         if (name == http::field::content_length && std::exchange(has_length_, true))
             ec = http::error::multiple_content_length;
-        if (name == http::field::transfer_encoding && !is_same_name({value.data(), value.size()}, "chunked"))
+        // HTTP/1.0 has no transfer codings, so a sender of that version has not chunked its body.
+        if (name == http::field::transfer_encoding &&
+            (version_ < first_chunked_version || !is_same_name({value.data(), value.size()}, "chunked")))
             ec = http::error::bad_transfer_encoding;
         message_.fields.push_back({std::string{name_text}, std::string{value}});
     }
@@ -120,6 +125,7 @@
 
     message_limits limits_;    ///< size limits of the message
     message message_;          ///< the parts read so far
+    int version_ = 0;          ///< HTTP version, the minor one in the units place
     bool has_length_ = false;  ///< whether a Content-Length line has been read
     bool header_done_ = false; ///< whether the header lines are complete
 };
--- a/tests/net/broken_reply_test.cpp
+++ b/tests/net/broken_reply_test.cpp
@@ -65,6 +65,18 @@
     check_is_reply("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + whole);
 }
 
+TEST_CASE("a chunked reply of HTTP/1.0 was passed on") {
+    const std::string chunks = "2\r\nok\r\n" + last_chunk;
+    check_is_no_reply("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+    check_is_no_reply("HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                      chunks);
+    request_parser request{limits};
+    CHECK_FALSE(request.feed("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks));
+    check_is_reply(chunked_head + chunks);
+    check_is_reply("HTTP/1.0 200 OK\r\n" + length_and_body);
+    check_is_reply("HTTP/1.0 200 OK\r\n\r\nok");
+}
+
 TEST_CASE("a broken status line is no reply") {
     for (const char* line :
          {"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1 200 OK", "HTTP/1.10 200 OK", "http/1.1 200 OK",
