Fix: an answer of a peer whose status is no final one is no answer

What callers saw: nothing by itself; during a rolling update they could. A node of an earlier build passes a server's 000 on to the node that asked it, and that node gave it to the caller. Cause: the reader of peers' answers took any 32-bit number for a status. Ruled out: the other kinds of answers; their reasons and durations are checked, and field lines come from the same parser as a server's, in earlier builds too. Change: the reader refuses a status below 200 or above 599, as it refuses an unknown kind; the node then treats the query as one whose holder is lost. is_final_status() serves the parser as well, in place of a class written out there. Evidence: "a peer's answer whose status is no final one was passed on" failed before for all eight statuses, and passes now, with the statuses that are kept.

--- a/packages/core/base/message_type.cpp
+++ b/packages/core/base/message_type.cpp
@@ -9,6 +9,7 @@
 
 // RFC 9110, section 15.
 constexpr unsigned min_status = 100;
+constexpr unsigned min_final_status = 200;
 constexpr unsigned max_status = 599;
 
 char to_lower(char c) {
@@ -21,6 +22,10 @@
     return status >= min_status && status <= max_status;
 }
 
+bool is_final_status(unsigned status) {
+    return is_valid_status(status) && status >= min_final_status;
+}
+
 bool is_same_name(std::string_view a, std::string_view b) {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(),
                       [](char x, char y) { return to_lower(x) == to_lower(y); });
--- a/packages/core/base/message_type.h
+++ b/packages/core/base/message_type.h
@@ -40,6 +40,8 @@
 
 /** @return whether HTTP defines a class for the status code; a message with another one is no reply. */
 [[nodiscard]] bool is_valid_status(unsigned status);
+/** @return whether no other reply to the same request follows a reply with the status code. */
+[[nodiscard]] bool is_final_status(unsigned status);
 /** @return whether two header names are equal, ignoring case. */
 [[nodiscard]] bool is_same_name(std::string_view a, std::string_view b);
 /** @return the first field with this name; null if there is none. */
--- a/packages/net/message_parser.cpp
+++ b/packages/net/message_parser.cpp
@@ -154,11 +154,10 @@
 }
 
 template <bool IsRequest> bool message_parser<IsRequest>::is_interim() const noexcept {
-    constexpr unsigned interim_class = 1;
     if constexpr (IsRequest)
         return false;
     else
-        return reader_->parsed_message().status / 100 == interim_class;
+        return !is_final_status(reader_->parsed_message().status);
 }
 
 template <bool IsRequest>
--- a/packages/peer/query_codec.cpp
+++ b/packages/peer/query_codec.cpp
@@ -90,7 +90,9 @@
     void operator()(const unroutable_answer&) {}
 };
 
-proxied_answer read_proxied(wire::DelegatedAnswer::Reader in) {
+std::optional<proxied_answer> read_proxied(wire::DelegatedAnswer::Reader in) {
+    if (!is_final_status(in.getStatus()))
+        return std::nullopt;
     proxied_answer it;
     it.message.status = in.getStatus();
     it.message.fields = read_fields(in.getFields());
--- a/tests/peer/query_codec_test.cpp
+++ b/tests/peer/query_codec_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <capnp/message.h>
@@ -15,11 +16,16 @@
 
 using std::chrono::milliseconds;
 
-delegated_answer round_trip(const delegated_answer& it) {
+/** @return an answer as another node reads it; nullopt if that node refuses it. */
+std::optional<delegated_answer> try_round_trip(const delegated_answer& it) {
     capnp::MallocMessageBuilder message;
     auto out = message.initRoot<wire::DelegatedAnswer>();
     write_answer(it, out);
-    return read_answer(out.asReader()).value();
+    return read_answer(out.asReader());
+}
+
+delegated_answer round_trip(const delegated_answer& it) {
+    return try_round_trip(it).value();
 }
 
 } // namespace
@@ -62,4 +68,19 @@
     CHECK(read->departed[0].id.value() == "i-1@5");
 }
 
+TEST_CASE("a peer's answer whose status is no final one was passed on") {
+    for (const unsigned status : {0U, 99U, 100U, 101U, 103U, 600U, 999U, 65736U}) {
+        CAPTURE(status);
+        proxied_answer answer;
+        answer.message.status = status;
+        CHECK_FALSE(try_round_trip({answer, object_version{7}, {}, false}));
+    }
+    for (const unsigned status : {200U, 304U, 404U, 599U}) {
+        proxied_answer answer;
+        answer.message.status = status;
+        CHECK(std::get<proxied_answer>(round_trip({answer, object_version{7}, {}, false}).answer)
+                  .message.status == status);
+    }
+}
+
 } // namespace pollengrade
