Fix: the replies that a node reads take a quarter of its memory at most

Cause: each connection was bounded (64 KiB of head, 4 MiB of body), their sum was not. Bodies of 4,000,000 bytes without a length that then stall, on as many connections as servers take, are as many times 4 MB until each request's deadline. Ruled out: a single reply without end, in status line, head, chunks, trailers, interim replies or body; these were bounded before (endless_bytes_test.cpp, kept as it is). A lower bound for each reply: it would refuse bodies that sound servers send. Change: reply_memory (core/upstreams) counts what unfinished replies hold, header lines included, which as many short fields take ten times their bytes. A body above 64 KB whose length is stated is admitted whole, within three quarters of the limit, or waits unread in its order: sound bodies get through however many come at once. Any other reply is read as it comes. Over the limit, the one that holds most of those without a length is given up, then of the others that are not admitted; so the sum can't stay above the limit. An admitted reply whose server has been silent for 250 ms is given up if others wait. Giving up closes the connection, is logged (reply_given_up) and counted, and is a failure of the server (oversized): it takes from the retry budget and never counts as "not run". The limit is a quarter of [node] memory_mb, which the platform's settings fill in. Not covered, see docs/CAPACITY.md: complete replies that wait in a gather or for a slow caller, and the store's answers.

--- a/packages/core/base/event_log.h
+++ b/packages/core/base/event_log.h
@@ -50,6 +50,7 @@
     upstream_limited,
     upstream_unlimited,
     upstream_paused, ///< a server asked for a pause
+    reply_given_up,  ///< the replies under way take too much memory
     connection_ended,
     document_in_force,
     shard_map_in_force,
@@ -78,6 +79,7 @@
 enum class event_key : std::uint8_t {
     address,
     age_ms,
+    all_bytes, ///< of all replies under way
     asked,
     attempts,
     cause,
@@ -90,11 +92,13 @@
     expected_wait_ms,
     from,
     hedges,
+    held_bytes, ///< of one reply
     in_flight,
     in_time,
     included,
     kind,
     least,
+    limit_bytes,
     limit_per_s,
     lines,
     missing,
--- a/packages/core/config/node_settings.cpp
+++ b/packages/core/config/node_settings.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<key_rule, 22> rules{{
+constexpr std::array<key_rule, 23> rules{{
     {"node", "name", setting_type::text, 1, 63, "", true, "", "",
      "Name of the node in logs and in the event log."},
     {"node", "interface", setting_type::choice, 0, 0, "documents", false, "documents|routes", "",
@@ -30,6 +30,8 @@
      "connections."},
     {"node", "cpu_speed", setting_type::decimal, 0, 1024, "1", false, "", "",
      "Speed of such a core, relative to those of other nodes."},
+    {"node", "memory_mb", setting_type::decimal, 32, 1048576, "256", false, "", "MB",
+     "Memory that the process may use; replies under way take a quarter of it at most."},
     {"node", "grace_s", setting_type::decimal, 1, 600, "10", false, "", "s",
      "Longest time from the stop signal to the end of the process."},
     {"node", "caller_round_trip_ms", setting_type::decimal, 0, 1000, "5", false, "", "ms",
@@ -128,6 +130,8 @@
     constexpr double millicores_per_core = 1000;
     it.capacity = static_cast<std::uint32_t>(ini->decimal("node", "cpu_share") *
                                              ini->decimal("node", "cpu_speed") * millicores_per_core);
+    constexpr double bytes_per_megabyte = 1e6;
+    it.memory = static_cast<std::size_t>(ini->decimal("node", "memory_mb") * bytes_per_megabyte);
     it.grace = seconds_of(*ini, "node", "grace_s");
     it.caller_round_trip = milliseconds_of(*ini, "node", "caller_round_trip_ms");
     it.budget.ratio = ini->decimal("retries", "ratio");
--- a/packages/core/config/node_settings.h
+++ b/packages/core/config/node_settings.h
@@ -39,6 +39,7 @@
     std::string source;              ///< IPv4 address from which servers are connected to; empty for any
     failure_domain domain;           ///< failure domain of the VM
     std::uint32_t capacity = 0;      ///< CPU capacity in millicores: share times speed
+    std::size_t memory = 0;          ///< bytes that the process may use
     duration caller_round_trip{};    ///< to callers whose connection does not tell it; routes only
     duration apply_limit{};          ///< time within which a change in the store must be in force
     duration max_pause{};            ///< longest pause that a server may ask for
--- a/packages/core/upstreams/connection_type.cpp
+++ b/packages/core/upstreams/connection_type.cpp
@@ -13,8 +13,8 @@
 }
 
 std::string_view to_string(connection_end it) {
-    constexpr std::array<std::string_view, 6> names{"closed",     "reset", "silent",
-                                                    "unreadable", "stray", "not_kept"};
+    constexpr std::array<std::string_view, 7> names{"closed", "reset",    "silent",     "unreadable",
+                                                    "stray",  "not_kept", "over_memory"};
     return names.at(static_cast<std::size_t>(it));
 }
 
--- a/packages/core/upstreams/dispatcher_connections.cpp
+++ b/packages/core/upstreams/dispatcher_connections.cpp
@@ -162,6 +162,8 @@
         attempt_error code = is_unsent ? attempt_error::not_sent : attempt_error::connection_lost;
         if (why == connection_end::unreadable)
             code = attempt_error::malformed;
+        else if (why == connection_end::over_memory)
+            code = attempt_error::oversized;
         note_result(server, attempts_.at(*interrupted), tl::unexpected{attempt_failure{code, {}}});
         keep_connected(server_id);
         dispatch_waiting_for(server_id);
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -64,6 +64,8 @@
 node::node(node_settings settings, loop_clock& clock, std::function<std::uint64_t()> random)
     : settings_{std::move(settings)}, clock_{clock}, random_{std::move(random)}, log_{wall_now},
       poller_{clock_}, platform_{poller_, clock_.timers(), log_, counts_, settings_.platform},
+      replies_{reply_memory_limit(settings_.memory), clock_.timers(), log_, counts_,
+               upstream_network::replies_hooks_of(network_)},
       servers_{
           clock_.timers(), log_, counts_, random_, settings_.domain, upstream_network::hooks_of(network_)},
       registry_{clock_.timers(), log_, counts_,
@@ -99,7 +101,7 @@
            {"/timeline", {"application/json", [this] { return encode_events(settings_.name, log_) + "\n"; }}},
            {"/healthz", {"application/json", [] { return std::string{"{\"healthy\":true}\n"}; }}}}} {
     servers_.set_max_pause(settings_.max_pause);
-    network_ = std::make_unique<upstream_network>(poller_, clock_.timers(), servers_, make_codec(),
+    network_ = std::make_unique<upstream_network>(poller_, clock_.timers(), servers_, replies_, make_codec(),
                                                   settings_.source);
     if (settings_.interface == interface_kind::routes) {
         add_watcher(object_kind::routes, routes_min_interval);
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -74,6 +74,7 @@
     metrics counts_;                                        ///< counters
     socket_poller poller_;                                  ///< socket poller of the main loop
     platform_client platform_;                              ///< client of the platform's store
+    reply_memory replies_;                                  ///< bounds the bytes of servers' replies
     std::unique_ptr<upstream_network> network_;             ///< connections to servers
     dispatcher servers_;                                    ///< the upstreams, and attempts sent to them
     registry registry_;                                     ///< registry of the servers' entries
--- a/packages/net/client_connection.cpp
+++ b/packages/net/client_connection.cpp
@@ -39,10 +39,21 @@
     fd_ = start_connect(address_, fast_keepalive_limits(), source_);
     if (!fd_.is_valid())
         return false;
-    watch_ = poller_.add(fd_, {false, true}, [this](socket_events events) { on_events(events); });
+    watch_socket({false, true});
     return true;
 }
 
+void client_connection::watch_socket(socket_interest interest) {
+    watch_ = poller_.add(fd_, interest, [this](socket_events events) { on_events(events); });
+}
+
+void client_connection::resume() {
+    if (!std::exchange(paused_, false) || !fd_.is_valid())
+        return;
+    watch_socket({});
+    update_interest();
+}
+
 void client_connection::send(outgoing_request request) {
     assert(connected_ && !is_busy());
     request_ = std::move(request);
@@ -152,7 +163,7 @@
         }
         bytes.remove_prefix(*used);
         if (parser_->stage() != parse_stage::complete)
-            return true;
+            return may_read_on();
         if (parser_->is_interim()) {
             if (++interim_replies_ > max_interim_replies) {
                 end(connection_end::unreadable);
@@ -167,6 +178,15 @@
     return true;
 }
 
+bool client_connection::may_read_on() {
+    if (!hooks_.received || hooks_.received({parser_->held_bytes(), parser_->stated_body_bytes()}))
+        return true;
+    // The end of the peer's side would be reported again and again, so the socket is not watched at all.
+    watch_.reset();
+    paused_ = true;
+    return false;
+}
+
 void client_connection::finish_reply(bool has_no_excess_bytes) {
     const std::size_t total = request_.header.size() + (request_.body ? request_.body->size() : 0);
     const bool was_fully_sent = written_ == total;
@@ -189,6 +209,8 @@
 }
 
 void client_connection::update_interest() {
+    if (paused_)
+        return;
     const std::size_t total = request_.header.size() + (request_.body ? request_.body->size() : 0);
     watch_.set_interest({true, is_busy() && written_ < total});
 }
--- a/packages/net/client_connection.h
+++ b/packages/net/client_connection.h
@@ -29,6 +29,9 @@
     std::function<void()> connected;            ///< the connection is established, and requests may be sent
     std::function<void(reply_message)> replied; ///< a complete reply; already closed if not kept alive
     std::function<void(connection_end)> ended;  ///< the connection ended; no more callbacks follow
+    /** Bytes of a reply have been read that is not complete. @return whether to read on; otherwise nothing is
+     * read until resume(). Null to read on always. The owner may close the connection in it. */
+    std::function<bool(const reply_extent&)> received = nullptr;
 };
 
 /**
@@ -57,6 +60,8 @@
     [[nodiscard]] bool connect();
     /** Closes the connection without notifying the owner. */
     void close();
+    /** Reads on after `received` has returned false. */
+    void resume();
     /** Sends a request. @pre the connection is established, and no request is open */
     void send(outgoing_request request);
 
@@ -66,11 +71,13 @@
     [[nodiscard]] bool is_busy() const noexcept { return parser_.has_value(); }
 
 private:
+    void watch_socket(socket_interest interest);
     void on_events(socket_events events);
     void on_connect_ended();
     void write();
     void read();
     bool process_bytes(std::string_view bytes);
+    [[nodiscard]] bool may_read_on();
     void finish_reply(bool has_no_excess_bytes);
     void end(connection_end why);
     void update_interest();
@@ -87,6 +94,7 @@
     std::size_t written_ = 0;            ///< bytes of the open request written so far
     int interim_replies_ = 0;            ///< 1xx replies read for the open request
     std::optional<reply_parser> parser_; ///< for the reply to the open request; empty if none is open
+    bool paused_ = false;                ///< whether the socket is not watched until resume()
     send_state state_ = send_state::not_connected; ///< see state()
 };
 
--- a/packages/net/message_parser.cpp
+++ b/packages/net/message_parser.cpp
@@ -58,6 +58,7 @@
 
     message& parsed_message() noexcept { return message_; }
     [[nodiscard]] const message_limits& limits() const noexcept { return limits_; }
+    [[nodiscard]] std::size_t held_bytes() const { return field_bytes_ + message_.body.size(); }
 
 private:
     void on_request_impl(http::verb, text method, text target, int version, error_code&) override {
@@ -88,6 +89,8 @@
             (version_ < first_chunked_version || !is_same_name({value.data(), value.size()}, "chunked")))
             ec = http::error::bad_transfer_encoding;
         message_.fields.push_back({std::string{name_text}, std::string{value}});
+        // A field may be as short as two bytes, so what it occupies besides them counts as well.
+        field_bytes_ += sizeof(message_field) + name_text.size() + value.size();
     }
 
     void on_header_impl(error_code&) override { header_done_ = true; }
@@ -123,11 +126,12 @@
         return part.size();
     }
 
-    message_limits limits_;    ///< size limits of the message
-    message message_;          ///< the parts read so far
-    int version_ = 0;          ///< HTTP version, the minor one in the units place
-    bool has_length_ = false;  ///< whether a Content-Length line has been read
-    bool header_done_ = false; ///< whether the header lines are complete
+    message_limits limits_;       ///< size limits of the message
+    message message_;             ///< the parts read so far
+    std::size_t field_bytes_ = 0; ///< memory that the header lines occupy
+    int version_ = 0;             ///< HTTP version, the minor one in the units place
+    bool has_length_ = false;     ///< whether a Content-Length line has been read
+    bool header_done_ = false;    ///< whether the header lines are complete
 };
 
 template <bool IsRequest>
@@ -149,6 +153,17 @@
     return pending_.empty() ? parse_stage::not_started : parse_stage::header;
 }
 
+template <bool IsRequest> std::size_t message_parser<IsRequest>::held_bytes() const {
+    return pending_.size() + reader_->held_bytes();
+}
+
+template <bool IsRequest> std::optional<std::size_t> message_parser<IsRequest>::stated_body_bytes() const {
+    if (!reader_->is_header_done())
+        return std::nullopt;
+    const auto length = reader_->content_length();
+    return length ? std::optional{static_cast<std::size_t>(*length)} : std::nullopt;
+}
+
 template <bool IsRequest> bool message_parser<IsRequest>::expects_continue() const {
     return is_same_name(value_of(reader_->parsed_message().fields, "Expect"), "100-continue");
 }
--- a/packages/net/message_parser.h
+++ b/packages/net/message_parser.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -65,6 +66,11 @@
     tl::expected<void, parse_error> end();
 
     [[nodiscard]] parse_stage stage() const noexcept;
+    /** @return the memory that the message occupies so far, in bytes. */
+    [[nodiscard]] std::size_t held_bytes() const;
+    /** @return the size of the whole body; nullopt until the head is complete, or if the head does not tell.
+     */
+    [[nodiscard]] std::optional<std::size_t> stated_body_bytes() const;
     /** @return whether the sender waits for "100 Continue" before it sends the body. */
     [[nodiscard]] bool expects_continue() const;
     /** @return whether the message is a 1xx reply, which another reply follows. @pre stage() is complete */
--- a/packages/net/upstream_network.cpp
+++ b/packages/net/upstream_network.cpp
@@ -32,9 +32,9 @@
 } // namespace
 
 upstream_network::upstream_network(socket_poller& poller, timer_queue& timers, dispatcher& servers,
-                                   upstream_codec codec, std::string source)
-    : poller_{poller}, timers_{timers}, servers_{servers}, codec_{std::move(codec)}, source_{
-                                                                                         std::move(source)} {}
+                                   reply_memory& replies, upstream_codec codec, std::string source)
+    : poller_{poller}, timers_{timers}, servers_{servers}, replies_{replies}, codec_{std::move(codec)},
+      source_{std::move(source)} {}
 
 transport_hooks upstream_network::hooks_of(std::unique_ptr<upstream_network>& network) {
     return {
@@ -45,11 +45,17 @@
         [&network](connection_id id) { network->close(id); }};
 }
 
+reply_memory_hooks upstream_network::replies_hooks_of(std::unique_ptr<upstream_network>& network) {
+    return {[&network](connection_id id) { network->give_up(id); },
+            [&network](connection_id id) { network->links_.at(id).connection->resume(); }};
+}
+
 bool upstream_network::open(connection_id id, const upstream_address& address) {
     client_connection_hooks hooks;
     hooks.connected = [this, id] { servers_.on_connected(id); };
     hooks.replied = [this, id](reply_message reply) { on_replied(id, std::move(reply)); };
     hooks.ended = [this, id](connection_end why) { on_ended(id, why); };
+    hooks.received = [this, id](const reply_extent& extent) { return replies_.on_bytes(id, extent); };
     auto connection = std::make_unique<client_connection>(poller_, address.value(), reply_limits,
                                                           std::move(hooks), source_);
     if (!connection->connect())
@@ -62,13 +68,24 @@
                             const attempt_request& request) {
     link& it = links_.at(id);
     it.request = request;
+    replies_.begin(id, server.id, request.request);
     // The time left is sent in whole milliseconds, rounded down so that servers never get more than is left,
     // but at least as 1 ms.
     const duration left = std::max(request.deadline - timers_.now(), duration{std::chrono::milliseconds{1}});
     it.connection->send(codec_.encode(server, request, left));
 }
 
+void upstream_network::give_up(connection_id id) {
+    links_.at(id).connection->close();
+    // The dispatcher may be on the call stack, so it is told in the next loop iteration.
+    timers_.schedule_after(duration{0}, [this, id] {
+        if (links_.contains(id))
+            on_ended(id, connection_end::over_memory);
+    });
+}
+
 void upstream_network::close(connection_id id) {
+    replies_.end(id);
     const auto node = links_.extract(id);
     if (!node.empty())
         retire(std::move(node.mapped()));
@@ -85,6 +102,7 @@
 
 void upstream_network::on_replied(connection_id id, reply_message reply) {
     const auto found = links_.find(id);
+    replies_.end(id);
     const bool keep_alive = reply.keep_alive;
     const reply_terms terms{keep_alive, idle_limit_of(reply), codec_.read_rate(reply),
                             codec_.states_leaving(reply), codec_.read_pause(reply)};
--- a/packages/net/upstream_network.h
+++ b/packages/net/upstream_network.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/upstreams/dispatcher.h"
+#include "core/upstreams/reply_memory.h"
 #include "net/client_connection.h"
 #include "net/socket_poller.h"
 
@@ -34,15 +35,19 @@
      * @param poller watches the sockets
      * @param timers for deferred destruction and the time
      * @param servers receives events; must outlive this object
+     * @param replies bounds the bytes of unfinished replies; its hooks are replies_hooks_of()
      * @param codec encodes and decodes attempts
      * @param source IPv4 address to connect from; empty to let the system choose
      */
-    upstream_network(socket_poller& poller, timer_queue& timers, dispatcher& servers, upstream_codec codec,
-                     std::string source);
+    upstream_network(socket_poller& poller, timer_queue& timers, dispatcher& servers, reply_memory& replies,
+                     upstream_codec codec, std::string source);
 
     /** @return hooks that call this object; to be given to the dispatcher. */
     [[nodiscard]] static transport_hooks hooks_of(std::unique_ptr<upstream_network>& network);
 
+    /** @return hooks that call this object; to be given to the object that bounds the replies. */
+    [[nodiscard]] static reply_memory_hooks replies_hooks_of(std::unique_ptr<upstream_network>& network);
+
     [[nodiscard]] bool open(connection_id id, const upstream_address& address);
     void send(connection_id id, const upstream_identity& server, const attempt_request& request);
     void close(connection_id id);
@@ -56,11 +61,13 @@
 
     void on_replied(connection_id id, reply_message reply);
     void on_ended(connection_id id, connection_end why);
+    void give_up(connection_id id);
     void retire(link&& it);
 
     socket_poller& poller_;                                   ///< watches the sockets
     timer_queue& timers_;                                     ///< for deferred destruction and the time
     dispatcher& servers_;                                     ///< receives events
+    reply_memory& replies_;                                   ///< bounds the bytes of unfinished replies
     upstream_codec codec_;                                    ///< encodes and decodes attempts
     std::string source_;                                      ///< see upstream_network()
     std::unordered_map<connection_id, link> links_;           ///< connections that are open or being opened
--- a/tests/core/config/settings_test.cpp
+++ b/tests/core/config/settings_test.cpp
@@ -70,6 +70,15 @@
     CHECK_FALSE(parse_node_settings("[node]\nsource = 127.0.0.9:1\n" + whole.substr(7)).has_value());
 }
 
+TEST_CASE("the memory of a node is at least that of a few large replies") {
+    const std::string base = "[platform]\naddress = 127.0.0.1:4\n[node]\ncallers = 127.0.0.1:1\nname = n\n"
+                             "operators = 127.0.0.1:2\npeers = 127.0.0.1:3\nfailure_domain = d\n";
+    CHECK(parse_node_settings(base).value().memory == 256'000'000);
+    CHECK(parse_node_settings(base + "memory_mb = 160\n").value().memory == 160'000'000);
+    for (const char* value : {"31", "0", "-1", "much", "", "inf"})
+        CHECK_FALSE(parse_node_settings(base + "memory_mb = " + value + "\n").has_value());
+}
+
 TEST_CASE("retry limits may be fractions, as for one share of a larger deployment's limits") {
     const std::string base = "[node]\ncallers = 127.0.0.1:1\nname = n\noperators = 127.0.0.1:2\n"
                              "peers = 127.0.0.1:3\nfailure_domain = d\n[platform]\naddress = 127.0.0.1:4\n";
--- a/tests/support/loopback_listener.h
+++ b/tests/support/loopback_listener.h
@@ -12,7 +12,7 @@
 
 namespace pollengrade {
 
-/** Accepts the single connection of a test's server. */
+/** Accepts the connections of a test's server. */
 class loopback_listener {
 public:
     loopback_listener() : listener_{listen_at("127.0.0.1:0")} {
@@ -26,15 +26,19 @@
 
     [[nodiscard]] const std::string& address() const noexcept { return address_; }
 
+    /** @return the socket of a connection that has arrived; invalid if none has */
+    [[nodiscard]] unique_fd try_accept() const {
+        return unique_fd{::accept(listener_.get(), nullptr, nullptr)};
+    }
+
     /** Waits up to a second for the connection. @return its socket; invalid if none arrived */
     [[nodiscard]] unique_fd accept() const {
-        int fd = -1;
-        for (int n = 0; n < 1000 && fd < 0; ++n) {
-            fd = ::accept(listener_.get(), nullptr, nullptr);
-            if (fd < 0)
-                ::usleep(1000);
+        unique_fd fd = try_accept();
+        for (int n = 0; n < 1000 && !fd.is_valid(); ++n) {
+            ::usleep(1000);
+            fd = try_accept();
         }
-        return unique_fd{fd};
+        return fd;
     }
 
 private:
