Fix: large buffers of a node are kept out of the heap

Cause: a body without a length grows by doubling. The C library takes large buffers from the system until one has been freed, and from then on from the heap (its threshold rises with each freed buffer); there each doubling leaves a gap that the next, larger buffer does not fit into. Ruled out: a leak; the counted bytes fall to 0, and the same load with stated lengths, whose buffers do not grow, takes 89 MB. Change: the daemon fixes malloc's threshold at its initial 128 KiB, so larger buffers return to the system when they are freed, and keeps 1 MiB at the heap's end, as the raised threshold did. Replies below 128 KiB, all of today's routes, do not touch such buffers.

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -15,6 +15,7 @@
 #include "core/config/node_settings.h"
 #include "daemon/node.h"
 #include "runtime/glib_ptr.h"
+#include "runtime/heap_func.h"
 #include "runtime/log_writer.h"
 #include "runtime/logging.h"
 #include "runtime/loop_clock.h"
@@ -151,5 +152,6 @@
     // The settings are read later: until then a SIGHUP has nothing to do, but would end the process.
     if (std::signal(SIGHUP, SIG_IGN) == SIG_ERR)
         return EXIT_FAILURE;
+    pollengrade::keep_large_buffers_out_of_heap();
     return pollengrade::run_program("pollengraded", [&] { return pollengrade::run(argc, argv); });
 }
