Add: stand-ins, soak and fuzzer play broken replies and check that none is passed on

Cause: none of the three could find the incident. The stand-ins answered through an HTTP library that sends whole replies, the soak looked at the status 200 alone, and the fuzzer only for crashes. Change: a stand-in server sends one of 14 kinds of bytes that are no reply, or have no end, each with the signature and body that a sound reply would have. The soak draws them as a fault of one server, and has the check "no broken answer": no caller gets bytes that are no reply, or a status that is no final one. The fuzzer makes replies of a drawn status and header line, requires of each one accepted that its status and fields are what RFC 9110 allows, and that it is read as the same when it is passed on.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <utility>
 
+#include "broken_reply.h"
 #include "net/message_writer.h"
 #include "process_func.h"
 
@@ -228,6 +229,12 @@
     case fault_kind::servers_cutting_heads:
         set_server_fault(it, "cut_head=1", "cut_head=0");
         break;
+    case fault_kind::servers_breaking_replies: {
+        constexpr auto ways = static_cast<std::int64_t>(broken_reply::count) - 1;
+        const std::int64_t way = 1 + to_milliseconds(it.at) % ways;
+        set_server_fault(it, "broken=" + std::to_string(way), "broken=0");
+        break;
+    }
     case fault_kind::servers_pausing:
         set_server_fault(it, "shedding=1&pause_ms=" + std::to_string(to_milliseconds(it.length)),
                          "shedding=0&pause_ms=20");
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -25,29 +25,30 @@
     servers_frozen,   ///< one server accepts requests and does not reply
     servers_shedding, ///< one server rejects requests without running them
     servers_dropping, ///< one server runs requests and closes the connection without a reply
-    servers_misanswering,  ///< one server replies with the ID of another request
-    servers_cutting_heads, ///< one server runs requests, sends half of a reply's head and closes
-    servers_pausing,       ///< one server rejects requests and asks for a long pause
-    servers_leaving,       ///< one replica's servers state that they leave, though their entries read ready
-    servers_removed,       ///< one replica's entries are removed without a word before, and its servers go on
-                           ///< serving
-    servers_slow,          ///< one server takes ten times the usual service time
-    servers_silent,        ///< open connections to one replica's servers permanently stop carrying data
-    servers_reset,         ///< connections to one replica's servers are reset
-    servers_cut,           ///< no data passes to or from one replica's servers
-    callers_delayed,       ///< the links between a node and its callers are delayed
-    callers_reset,         ///< a node's connections from callers are reset
-    store_link_cut,        ///< a node cannot reach the store
-    store_link_one_way,    ///< a node receives no data from the store
-    store_link_delayed,    ///< the link between a node and the store is delayed
-    store_link_silent,     ///< a node's open connections to the store permanently stop carrying data
-    store_paused,          ///< the store's process is suspended and resumed
-    store_down,            ///< the store refuses calls
-    store_silent,          ///< the store accepts calls and does not reply
-    store_loses_replies,   ///< the store executes writes but does not reply
-    store_loses_calls,     ///< the store closes connections when it receives calls
-    store_forgets,         ///< the store loses its change history
-    version_written,       ///< the operator writes the next version
+    servers_misanswering,     ///< one server replies with the ID of another request
+    servers_cutting_heads,    ///< one server runs requests, sends half of a reply's head and closes
+    servers_breaking_replies, ///< one server runs requests and sends bytes that are no reply, or have no end
+    servers_pausing,          ///< one server rejects requests and asks for a long pause
+    servers_leaving,     ///< one replica's servers state that they leave, though their entries read ready
+    servers_removed,     ///< one replica's entries are removed without a word before, and its servers go on
+                         ///< serving
+    servers_slow,        ///< one server takes ten times the usual service time
+    servers_silent,      ///< open connections to one replica's servers permanently stop carrying data
+    servers_reset,       ///< connections to one replica's servers are reset
+    servers_cut,         ///< no data passes to or from one replica's servers
+    callers_delayed,     ///< the links between a node and its callers are delayed
+    callers_reset,       ///< a node's connections from callers are reset
+    store_link_cut,      ///< a node cannot reach the store
+    store_link_one_way,  ///< a node receives no data from the store
+    store_link_delayed,  ///< the link between a node and the store is delayed
+    store_link_silent,   ///< a node's open connections to the store permanently stop carrying data
+    store_paused,        ///< the store's process is suspended and resumed
+    store_down,          ///< the store refuses calls
+    store_silent,        ///< the store accepts calls and does not reply
+    store_loses_replies, ///< the store executes writes but does not reply
+    store_loses_calls,   ///< the store closes connections when it receives calls
+    store_forgets,       ///< the store loses its change history
+    version_written,     ///< the operator writes the next version
 };
 
 inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(fault_kind::version_written) + 1;
--- a/soak/load_generator.cpp
+++ b/soak/load_generator.cpp
@@ -121,14 +121,16 @@
     client_connection_hooks hooks;
     hooks.connected = [this, key] { send(key, connections_.at(key).record); };
     hooks.replied = [this, key](reply_message reply) { on_reply(key, std::move(reply)); };
-    hooks.ended = [this, key](connection_end) { on_lost(key); };
+    hooks.ended = [this, key](connection_end why) {
+        on_lost(key, why == connection_end::unreadable ? soak_outcome::broken : soak_outcome::lost);
+    };
     caller_connection& it = connections_[key];
     it.connection = std::make_unique<client_connection>(poller_, config_.node_proxy(node), reply_limits,
                                                         std::move(hooks));
     it.node = node;
     it.record = record;
     if (!it.connection->connect())
-        on_lost(key);
+        on_lost(key, soak_outcome::lost);
 }
 
 void load_generator::send(connection_key key, std::size_t record) {
@@ -137,7 +139,7 @@
     const request_record& sent = records_[record];
     it.timeout = timers_.schedule_at(sent.sent + timeout_of(sent.kind) + caller_timeout_slack, [this, key] {
         connections_.at(key).timeout.reset();
-        on_lost(key);
+        on_lost(key, soak_outcome::lost);
     });
     it.connection->send(encode(sent));
 }
@@ -162,11 +164,11 @@
         close(key);
 }
 
-void load_generator::on_lost(connection_key key) {
+void load_generator::on_lost(connection_key key, soak_outcome outcome) {
     caller_connection& it = connections_.at(key);
     request_record& record = records_[it.record];
     if (record.outcome == soak_outcome::pending) {
-        record.outcome = soak_outcome::lost;
+        record.outcome = outcome;
         record.ended = timers_.now();
     }
     close(key);
--- a/soak/load_generator.h
+++ b/soak/load_generator.h
@@ -53,7 +53,7 @@
     void open(std::uint32_t node, std::size_t record);
     void send(connection_key key, std::size_t record);
     void on_reply(connection_key key, reply_message reply);
-    void on_lost(connection_key key);
+    void on_lost(connection_key key, soak_outcome outcome);
     void close(connection_key key);
 
     socket_poller& poller_;                                   ///< watches the sockets
--- a/soak/result_checks.cpp
+++ b/soak/result_checks.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 #include <utility>
 
+#include "core/base/message_type.h"
 #include "departure_checks.h"
 #include "part_func.h"
 #include "routes_text.h"
@@ -127,6 +128,10 @@
 
 void check_answers(const soak_results& all, violations& out) {
     for (const request_record& it : all.records) {
+        const bool is_broken = it.outcome == soak_outcome::broken ||
+                               (it.outcome == soak_outcome::replied && !is_final_status(it.status));
+        if (is_broken)
+            out.push_back({"no broken answer", describe(it)});
         if (it.outcome != soak_outcome::replied || it.status != ok)
             continue;
         const std::set<std::string> services = services_of(it);
--- a/soak/soak_type.h
+++ b/soak/soak_type.h
@@ -84,6 +84,7 @@
     pending, ///< no reply yet
     replied, ///< a reply was received, with any status
     lost,    ///< the connection ended or the caller timed out before a reply
+    broken,  ///< bytes were received that are no reply
 };
 
 /** One request as observed by its caller. */
--- a/standins/standin_upstreams.cpp
+++ b/standins/standin_upstreams.cpp
@@ -203,6 +203,9 @@
             *found->second = count;
         } else if (const auto flag = switches.find(name); flag != switches.end()) {
             *flag->second = n != 0;
+        } else if (name == "broken") {
+            constexpr auto kinds = static_cast<std::uint64_t>(broken_reply::count);
+            behaviour.broken = n < kinds ? static_cast<broken_reply>(n) : broken_reply::none;
         } else if (name == "versions") {
             behaviour.versions.clear();
             std::istringstream in{value};
--- a/standins/upstream_server.cpp
+++ b/standins/upstream_server.cpp
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "broken_reply_sender.h"
 #include "core/base/id_type.h"
 #include "http/header_names.h"
 #include "http/uri_func.h"
@@ -312,6 +313,15 @@
     soup_server_message_unpause(it.message);
 }
 
+void upstream_server::complete_broken(const work& it) {
+    const std::string fields = std::string{wire_names::request_id} + ": " + it.request + "\r\n" +
+                               wire_names::signature + ": " +
+                               signature_of(it.request, names_->service, names_->server) + "\r\n";
+    const std::string body = part_of(it.request, names_->service);
+    send_broken_reply(gobject_ptr<GIOStream>{soup_server_message_steal_connection(it.message)},
+                      bytes_of(behaviour_.broken, fields, body));
+}
+
 void upstream_server::start_waiting() {
     while (running_ < behaviour_.slots && !waiting_.empty()) {
         const std::shared_ptr<work> it = waiting_.front();
@@ -358,6 +368,8 @@
             g_output_stream_write_all(g_io_stream_get_output_stream(stream.get()), half_head.data(),
                                       half_head.size(), nullptr, nullptr, nullptr);
         g_io_stream_close(stream.get(), nullptr, nullptr);
+    } else if (names_ && behaviour_.broken != broken_reply::none) {
+        complete_broken(it);
     } else if (names_) {
         complete_forwarded(it);
     } else {
--- a/standins/upstream_server.h
+++ b/standins/upstream_server.h
@@ -13,6 +13,7 @@
 
 #include <libsoup/soup.h>
 
+#include "broken_reply.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
 
@@ -37,6 +38,7 @@
     bool wrong_request = false;  ///< replies with the ID of another request
     bool wrong_version = false;  ///< replies with another index version
     bool cut_head = false;       ///< runs the request, then sends half of a reply's head and closes
+    broken_reply broken = broken_reply::none; ///< how replies to forwarded requests are broken
     bool states_leaving = false; ///< states in each reply that it leaves, though its entry reads ready
     std::uint32_t pause_ms = 20; ///< pause that a refusal because of overload asks for
     std::set<std::uint64_t> versions{1}; ///< index versions held
@@ -106,6 +108,7 @@
     void handle_forwarded(SoupServerMessage* message);
     void enqueue(std::shared_ptr<work> it);
     void complete_forwarded(const work& it);
+    void complete_broken(const work& it);
     [[nodiscard]] const char* refusal(SoupServerMessage* message) const;
     [[nodiscard]] bool is_silent(SoupServerMessage* message) const;
     void start_waiting();
--- a/tests/fuzz/fuzz_inputs.cpp
+++ b/tests/fuzz/fuzz_inputs.cpp
@@ -1,8 +1,11 @@
 /** @file fuzz_inputs.cpp libFuzzer target: every parser of external input must either accept or reject its
- * input without a crash. */
+ * input without a crash, and what it accepts as a reply is one. */
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <cstdlib>
 #include <cstring>
+#include <string>
 #include <string_view>
 
 #include <capnp/serialize.h>
@@ -14,6 +17,7 @@
 #include "http/codec.h"
 #include "http/uri_func.h"
 #include "net/message_parser.h"
+#include "net/message_writer.h"
 #include "peer/peer_codec.h"
 #include "platform/forward_codec.h"
 #include "platform/object_decoder.h"
@@ -34,21 +38,83 @@
     });
 }
 
+constexpr message_limits limits{512, 1024};
+
+void require(bool holds) {
+    if (!holds)
+        std::abort();
+}
+
+bool is_token_character(char c) {
+    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+    const bool is_letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    return is_letter || (c >= '0' && c <= '9') || others.find(c) != std::string_view::npos;
+}
+
+bool is_control(char c) {
+    constexpr char delete_character = '\x7f';
+    return (c >= '\0' && c < ' ' && c != '\t') || c == delete_character;
+}
+
+/** Requires that a reply is one by RFC 9110, and that it is read as the same when it is passed on. */
+void check_reply(const reply_message& it) {
+    require(is_valid_status(it.status));
+    for (const message_field& field : it.fields) {
+        require(!field.name.empty() && std::all_of(field.name.begin(), field.name.end(), is_token_character));
+        require(std::none_of(field.value.begin(), field.value.end(), is_control));
+    }
+    if (!is_final_status(it.status))
+        return;
+    reply_message passed_on = it;
+    remove_hop_by_hop(passed_on.fields);
+    reply_parser parser{{8 * limits.header_bytes, limits.body_bytes}};
+    require(parser.feed(encode_reply(passed_on, true, true)).has_value());
+    require(parser.stage() == parse_stage::complete);
+    const reply_message read = parser.take();
+    require(read.status == it.status && read.keep_alive);
+    const bool allows_body = it.status != 204 && it.status != 304;
+    require(read.body == (allows_body ? it.body : std::string{}));
+    require(read.fields.size() == passed_on.fields.size() + (allows_body ? 1 : 0));
+    require(std::equal(passed_on.fields.begin(), passed_on.fields.end(), read.fields.begin()));
+}
+
+/** Parses bytes as a server's reply received in two pieces, and checks and decodes a complete one. */
+void read_reply(std::string_view bytes) {
+    const std::size_t cut = bytes.size() / 2;
+    reply_parser reply{limits};
+    if (reply.feed(bytes.substr(0, cut)))
+        static_cast<void>(reply.feed(bytes.substr(cut)));
+    static_cast<void>(reply.end());
+    if (reply.stage() != parse_stage::complete)
+        return;
+    reply_message message = reply.take();
+    check_reply(message);
+    static_cast<void>(decode_forwarded(request_id{"r"}, std::move(message)));
+}
+
+/** @return a reply with the status and one header line that the bytes give. */
+std::string reply_from(std::string_view bytes) {
+    constexpr std::size_t status_digits = 3;
+    std::string status;
+    for (const char c : bytes.substr(0, status_digits))
+        status += static_cast<char>('0' + static_cast<unsigned char>(c) % 10);
+    const std::string_view line = bytes.substr(std::min(bytes.size(), status_digits));
+    return "HTTP/1.1 " + status + " Status\r\n" + std::string{line} + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
 /** Parses bytes as HTTP messages received in two pieces and decodes complete messages. */
 void read_messages(std::string_view bytes) {
-    constexpr message_limits limits{512, 1024};
     const std::size_t cut = bytes.size() / 2;
     request_parser request{limits};
     if (request.feed(bytes.substr(0, cut)))
         static_cast<void>(request.feed(bytes.substr(cut)));
     if (request.stage() == parse_stage::complete)
         static_cast<void>(decode_request(request.take()));
-    reply_parser reply{limits};
-    if (reply.feed(bytes.substr(0, cut)))
-        static_cast<void>(reply.feed(bytes.substr(cut)));
-    static_cast<void>(reply.end());
-    if (reply.stage() == parse_stage::complete)
-        static_cast<void>(decode_forwarded(request_id{"r"}, reply.take()));
+    read_reply(bytes);
+    // Random bytes seldom begin like a reply.
+    read_reply(reply_from(bytes));
+    read_reply("HTTP/1.1 200 OK\r\n" + std::string{bytes});
+    read_reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string{bytes});
 }
 
 /** Decodes a text as each of the platform's formats. */
--- a/tests/soak/result_checks_test.cpp
+++ b/tests/soak/result_checks_test.cpp
@@ -144,6 +144,17 @@
     CHECK(unknown.failed_checks() == names{});
 }
 
+TEST_CASE("bytes that are no reply, and a status that HTTP does not define, are reported") {
+    passing_run unreadable;
+    unreadable.first(route_kind::lookup).outcome = soak_outcome::broken;
+    CHECK(unreadable.failed_checks() == names{"no broken answer"});
+    for (const unsigned status : {0U, 99U, 101U, 600U}) {
+        passing_run undefined;
+        undefined.first(route_kind::lookup).status = status;
+        CHECK(undefined.failed_checks() == names{"no broken answer"});
+    }
+}
+
 TEST_CASE("a reply that is another request's, unsigned, truncated or incomplete is reported") {
     passing_run other;
     other.first(route_kind::lookup).body = part_of("other", service_text(lookup_service));
