Change: only replies that come in several pieces are entered into the memory's account

Cause: each request was entered when it was sent, with copies of its server's and its own ID, though nearly all replies come in one piece. Ruled out: the checks of status and version, a few comparisons a reply. Change: a reply is entered with its first bytes that do not complete it; whose it is is asked for when it is given up. Tests and bounds are the same.

--- a/packages/core/upstreams/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -77,6 +77,8 @@
     void note_live(const upstream_id& id, std::string_view incarnation);
     /** Takes from another node which servers stated in replies to it that they leave. */
     void note_departed(std::span<const departed_server> servers);
+    /** @return the server of a connection; an empty ID for none. */
+    [[nodiscard]] upstream_id server_at(connection_id id) const;
     /** @return the servers that stated in replies that they leave. */
     [[nodiscard]] const departures& departed() const noexcept { return departures_; }
 
--- a/packages/core/upstreams/dispatcher_connections.cpp
+++ b/packages/core/upstreams/dispatcher_connections.cpp
@@ -95,6 +95,11 @@
     });
 }
 
+upstream_id dispatcher::server_at(connection_id id) const {
+    const auto owner = owners_.find(id);
+    return owner == owners_.end() ? upstream_id{} : owner->second;
+}
+
 void dispatcher::drop_connection(upstream& server, connection_id id) {
     server.on_connection_gone(id);
     owners_.erase(id);
--- a/packages/core/upstreams/reply_memory.cpp
+++ b/packages/core/upstreams/reply_memory.cpp
@@ -31,19 +31,8 @@
         timers_.cancel(*stall_check_);
 }
 
-void reply_memory::begin(connection_id id, const upstream_id& server, const request_id& request) {
-    open_reply it;
-    it.server = server;
-    it.request = request;
-    it.last_bytes = timers_.now();
-    replies_.insert_or_assign(id, std::move(it));
-}
-
 bool reply_memory::on_bytes(connection_id id, const reply_extent& extent) {
-    const auto found = replies_.find(id);
-    if (found == replies_.end())
-        return false;
-    open_reply& it = found->second;
+    open_reply& it = replies_[id];
     it.extent = extent;
     it.last_bytes = timers_.now();
     if (it.state == admission::as_it_comes && extent.body_bytes.value_or(0) > small_body_bytes)
@@ -160,11 +149,11 @@
 
 void reply_memory::give_up(const entry& which, std::string_view cause) {
     const connection_id id = which.first;
-    const open_reply& it = which.second;
+    const reply_origin origin = hooks_.origin_of(id);
     ++counts_.counter("replies_given_up", cause);
-    log_.record(event_kind::reply_given_up, it.request, it.server.value(),
+    log_.record(event_kind::reply_given_up, origin.request, origin.server.value(),
                 {{event_key::cause, cause},
-                 {event_key::held_bytes, it.extent.held},
+                 {event_key::held_bytes, which.second.extent.held},
                  {event_key::all_bytes, counted_},
                  {event_key::limit_bytes, limit_}});
     remove(id);
--- a/packages/core/upstreams/reply_memory.h
+++ b/packages/core/upstreams/reply_memory.h
@@ -17,10 +17,17 @@
 
 namespace pollengrade {
 
-/** What reply_memory has done with connections. They must not call back into it. */
+/** Whose reply a connection carries. */
+struct reply_origin {
+    upstream_id server; ///< the server that sends it
+    request_id request; ///< the caller's request
+};
+
+/** What reply_memory needs of connections. The hooks must not call back into it. */
 struct reply_memory_hooks {
     std::function<void(connection_id)> give_up; ///< the connection's reply is given up; it must be closed
     std::function<void(connection_id)> resume;  ///< the connection's reply is to be read on
+    std::function<reply_origin(connection_id)> origin_of; ///< for the log
 };
 
 /** @return the bytes that the replies under way may take of a node's memory, which is given in bytes. */
@@ -52,11 +59,10 @@
     reply_memory& operator=(reply_memory&&) = delete;
     ~reply_memory();
 
-    /** A request has been sent. */
-    void begin(connection_id id, const upstream_id& server, const request_id& request);
-    /** Bytes of the reply have been read. @return whether to read on now */
+    /** Bytes of a reply have been read that is not complete. @return whether to read on now */
     [[nodiscard]] bool on_bytes(connection_id id, const reply_extent& extent);
-    /** The reply is complete, or its connection has ended; without effect if it was given up. */
+    /** A reply is complete, or its connection has ended; without effect for one that was given up, or that
+     * came in one piece. */
     void end(connection_id id);
 
     /** @return the bytes counted for all replies. */
@@ -71,8 +77,6 @@
     };
     /** A reply that is being read. */
     struct open_reply {
-        upstream_id server;                       ///< its server
-        request_id request;                       ///< the caller's request
         reply_extent extent;                      ///< as last reported
         admission state = admission::as_it_comes; ///< how it is read
         std::size_t reserved = 0;                 ///< bytes that it may come to hold; 0 unless admitted
@@ -84,7 +88,7 @@
     };
     using entry = std::unordered_map<connection_id, open_reply>::value_type;
 
-    /** @return false if the reply is not known, because it was given up. */
+    /** @return false if the reply is not known. */
     bool remove(connection_id id);
     [[nodiscard]] bool has_room_for(const open_reply& it) const;
     void admit_or_wait(connection_id id, open_reply& it);
--- a/packages/net/upstream_network.cpp
+++ b/packages/net/upstream_network.cpp
@@ -47,7 +47,10 @@
 
 reply_memory_hooks upstream_network::replies_hooks_of(std::unique_ptr<upstream_network>& network) {
     return {[&network](connection_id id) { network->give_up(id); },
-            [&network](connection_id id) { network->links_.at(id).connection->resume(); }};
+            [&network](connection_id id) { network->links_.at(id).connection->resume(); },
+            [&network](connection_id id) {
+                return reply_origin{network->servers_.server_at(id), network->links_.at(id).request.request};
+            }};
 }
 
 bool upstream_network::open(connection_id id, const upstream_address& address) {
@@ -68,7 +71,6 @@
                             const attempt_request& request) {
     link& it = links_.at(id);
     it.request = request;
-    replies_.begin(id, server.id, request.request);
     // The time left is sent in whole milliseconds, rounded down so that servers never get more than is left,
     // but at least as 1 ms.
     const duration left = std::max(request.deadline - timers_.now(), duration{std::chrono::milliseconds{1}});
