--- a/packages/core/base/message_type.cpp
+++ b/packages/core/base/message_type.cpp
@@ -10,6 +10,8 @@
 // RFC 9110, section 15.
 constexpr unsigned min_status = 100;
 constexpr unsigned min_final_status = 200;
+constexpr unsigned max_success_status = 299;
+constexpr unsigned min_server_error_status = 500;
 constexpr unsigned max_status = 599;
 
 char to_lower(char c) {
@@ -26,6 +28,14 @@
     return is_valid_status(status) && status >= min_final_status;
 }
 
+bool is_success_status(unsigned status) {
+    return status >= min_final_status && status <= max_success_status;
+}
+
+bool is_server_error_status(unsigned status) {
+    return status >= min_server_error_status;
+}
+
 bool is_same_name(std::string_view a, std::string_view b) {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(),
                       [](char x, char y) { return to_lower(x) == to_lower(y); });
--- a/packages/core/base/message_type.h
+++ b/packages/core/base/message_type.h
@@ -42,6 +42,10 @@
 [[nodiscard]] bool is_valid_status(unsigned status);
 /** @return whether no other reply to the same request follows a reply with the status code. */
 [[nodiscard]] bool is_final_status(unsigned status);
+/** @return whether the status code says that the request was answered. */
+[[nodiscard]] bool is_success_status(unsigned status);
+/** @return whether the status code says that the server failed. */
+[[nodiscard]] bool is_server_error_status(unsigned status);
 /** @return whether two header names are equal, ignoring case. */
 [[nodiscard]] bool is_same_name(std::string_view a, std::string_view b);
 /** @return the first field with this name; null if there is none. */
--- a/packages/core/queries/forward_run.cpp
+++ b/packages/core/queries/forward_run.cpp
@@ -14,12 +14,6 @@
 constexpr duration deadline_margin =
     std::chrono::milliseconds{5}; ///< reserved for sending the answer to the caller
 constexpr duration refused_retry_after = std::chrono::milliseconds{50}; ///< when a refused caller may retry
-constexpr unsigned min_server_error = 500;
-constexpr unsigned success_class = 2;
-
-bool is_success(unsigned status) {
-    return status / 100 == success_class;
-}
 
 } // namespace
 
@@ -89,7 +83,7 @@
         return attempt_error::malformed;
     if (job_.via->is_gather())
         return merge_part(*forwarded);
-    const bool is_failure = forwarded->message.status >= min_server_error;
+    const bool is_failure = is_server_error_status(forwarded->message.status);
     reply_ = std::move(*forwarded);
     if (is_failure && job_.via->is_idempotent)
         return attempt_error::server_error;
@@ -97,7 +91,7 @@
 }
 
 std::optional<attempt_error> forward_run::merge_part(forwarded_reply& reply) {
-    if (!is_success(reply.message.status))
+    if (!is_success_status(reply.message.status))
         return attempt_error::server_error;
     const bool is_duplicate =
         std::find(signatures_.begin(), signatures_.end(), reply.signature) != signatures_.end();
--- a/packages/core/upstreams/dispatcher_results.cpp
+++ b/packages/core/upstreams/dispatcher_results.cpp
@@ -74,9 +74,8 @@
     const duration took = now - sent.sent_at;
     if (result) {
         constexpr double median = 0.5;
-        constexpr unsigned min_server_error_status = 500;
         const auto* forwarded = std::get_if<forwarded_reply>(&*result);
-        if (forwarded != nullptr && forwarded->message.status >= min_server_error_status) {
+        if (forwarded != nullptr && is_server_error_status(forwarded->message.status)) {
             note_failure(server, "server_error");
             return;
         }
--- a/tests/platform/broken_store_reply_test.cpp
+++ b/tests/platform/broken_store_reply_test.cpp
@@ -16,7 +16,7 @@
 template <typename Result, typename Start>
 std::optional<store_error> error_of_call(const std::string& bytes, const Start& start) {
     const loopback_listener listener;
-    shared_state at;
+    script_state at;
     const server_script script{bytes, "", server_end::closes, 1};
     std::thread server{[&] { serve_script(listener, script, at); }};
     loop_clock clock;
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -35,12 +35,12 @@
 };
 
 /** State shared by the server's thread and the main loop. */
-struct shared_state {
+struct script_state {
     std::atomic<bool> reported{false}; ///< the connection's owner has a reply, or the connection has ended
     std::atomic<bool> served{false};   ///< the server has completed its script
 };
 
-inline void serve_script(const loopback_listener& listener, const server_script& it, shared_state& at) {
+inline void serve_script(const loopback_listener& listener, const server_script& it, script_state& at) {
     const unique_fd connection = listener.accept();
     const int fd = connection.get();
     std::array<char, 1024> buf{};
@@ -61,7 +61,7 @@
 /** Sends a request to a scripted server and records the connection's reports until the script is complete. */
 inline connection_reports run_server_script(const server_script& it, message_limits limits) {
     const loopback_listener listener;
-    shared_state at;
+    script_state at;
     std::thread server{[&listener, &it, &at] { serve_script(listener, it, at); }};
     loop_clock clock;
     socket_poller poller{clock};
