Cleanup: the search for a stalled reply has a function of its own, and findings of the linter in the tests

Cause: give_up_stalled() both searched and decided; the linter found a sign conversion, joined strings and a fixture without its copy operations in the tests of broken replies. Behaviour and checks are the same.

--- a/packages/core/upstreams/reply_memory.cpp
+++ b/packages/core/upstreams/reply_memory.cpp
@@ -130,19 +130,23 @@
     }
 }
 
+const reply_memory::entry* reply_memory::longest_stalled() const {
+    const time_point latest = timers_.now() - stall_time;
+    const entry* longest = nullptr;
+    for (const entry& it : replies_) {
+        const bool is_stalled = it.second.state == admission::admitted && it.second.last_bytes <= latest;
+        if (is_stalled && (longest == nullptr || it.second.last_bytes < longest->second.last_bytes))
+            longest = &it;
+    }
+    return longest;
+}
+
 void reply_memory::give_up_stalled() {
-    const time_point now = timers_.now();
     while (!waiting_.empty() && !has_room_for(replies_.at(waiting_.front()))) {
-        const entry* longest = nullptr;
-        for (const entry& it : replies_) {
-            const bool is_stalled =
-                it.second.state == admission::admitted && now - it.second.last_bytes >= stall_time;
-            if (is_stalled && (longest == nullptr || it.second.last_bytes < longest->second.last_bytes))
-                longest = &it;
-        }
-        if (longest == nullptr)
+        const entry* stalled = longest_stalled();
+        if (stalled == nullptr)
             break;
-        give_up(*longest, "stalled");
+        give_up(*stalled, "stalled");
     }
     admit_waiting();
 }
--- a/packages/core/upstreams/reply_memory.h
+++ b/packages/core/upstreams/reply_memory.h
@@ -93,11 +93,16 @@
     [[nodiscard]] bool has_room_for(const open_reply& it) const;
     void admit_or_wait(connection_id id, open_reply& it);
     void admit(open_reply& it);
-    /** @return the reply to be given up first; null if all are admitted. */
-    [[nodiscard]] const entry* first_to_give_up() const;
     void update_count(open_reply& it);
+    /** Admits replies that wait, in their order, up to the first for which there is no room. */
     void admit_waiting();
+    /** @return the reply to be given up first; null if all are admitted. */
+    [[nodiscard]] const entry* first_to_give_up() const;
+    /** Gives up replies until the sum is within the limit. */
     void give_up_excess();
+    /** @return the admitted reply whose server has been silent longest; null if none has stalled. */
+    [[nodiscard]] const entry* longest_stalled() const;
+    /** Gives up stalled replies until there is room for the first one that waits. */
     void give_up_stalled();
     void give_up(const entry& which, std::string_view cause);
     void arm_stall_check();
--- a/tests/core/upstreams/reply_memory_test.cpp
+++ b/tests/core/upstreams/reply_memory_test.cpp
@@ -135,7 +135,7 @@
     const connection_id waiting = it.begin();
     for (const connection_id id : {stalled, slow, other, waiting})
         (void)it.read(id, kilobyte, large_body);
-    for (int n = 0; n < 20; ++n) {
+    for (std::size_t n = 0; n < 20; ++n) {
         it.advance(20);
         CHECK(it.read(slow, (n + 2) * kilobyte, large_body));
         CHECK(it.read(other, (n + 2) * kilobyte, large_body));
--- a/tests/net/broken_reply_test.cpp
+++ b/tests/net/broken_reply_test.cpp
@@ -1,8 +1,9 @@
 /** @file broken_reply_test.cpp Bytes that RFC 9110 and RFC 9112 do not call a reply, on a real socket. */
 #include <doctest/doctest.h>
 
-#include <array>
+#include <initializer_list>
 #include <string>
+#include <string_view>
 
 #include "support/scripted_server.h"
 
@@ -17,6 +18,13 @@
 const std::string chunked_head = ok_head + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string last_chunk = "0\r\n\r\n";
 
+std::string joined(std::initializer_list<std::string_view> parts) {
+    std::string all;
+    for (const std::string_view it : parts)
+        all.append(it);
+    return all;
+}
+
 std::string reply_with_status(const std::string& status) {
     return "HTTP/1.1 " + status + " Status\r\nX-A: b\r\n" + length_and_body;
 }
@@ -45,7 +53,7 @@
 TEST_CASE("a reply whose status is not from 100 to 599 was passed on") {
     for (const char* status : {"000", "001", "099", "600", "700", "999"}) {
         check_is_no_reply(reply_with_status(status));
-        check_is_no_reply("HTTP/1.1 " + std::string{status} + " Status\r\n\r\n" + ok_head + length_and_body);
+        check_is_no_reply(joined({"HTTP/1.1 ", status, " Status\r\n\r\n", ok_head, length_and_body}));
     }
     for (const char* status : {"20", "2000", "2x0", "-20", "+20", "0x2", " 200", ""})
         check_is_no_reply(reply_with_status(status));
@@ -114,12 +122,12 @@
                                     std::string{"Content-Length : 2"},
                                     with_null,
                                     null_in_name}) {
-        check_is_no_reply(ok_head + line + "\r\n" + length_and_body);
-        check_is_no_reply("HTTP/1.1 100 Continue\r\n" + line + "\r\n\r\n" + ok_head + length_and_body);
+        check_is_no_reply(joined({ok_head, line, "\r\n", length_and_body}));
+        check_is_no_reply(joined({"HTTP/1.1 100 Continue\r\n", line, "\r\n\r\n", ok_head, length_and_body}));
     }
     for (const char* line :
          {"X-A:b", "X-A: \t b \t", "X-A:", "!#$%&'*+-.^_`|~09azAZ: b", "X-A: \xe9\x80 (\"{}\")"})
-        check_is_reply(ok_head + line + "\r\n" + length_and_body);
+        check_is_reply(joined({ok_head, line, "\r\n", length_and_body}));
 }
 
 TEST_CASE("a reply with a length that is faulty or contradicted is no reply") {
@@ -139,7 +147,7 @@
     const std::string chunks = "2\r\nok\r\n" + last_chunk;
     for (const char* coding : {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity",
                                "xchunked", "chunked;a=b", "", "chunked\r\nTransfer-Encoding: chunked"})
-        check_is_no_reply(ok_head + "Transfer-Encoding: " + coding + "\r\n\r\n" + chunks);
+        check_is_no_reply(joined({ok_head, "Transfer-Encoding: ", coding, "\r\n\r\n", chunks}));
     check_is_reply(ok_head + "transfer-encoding: CHUNKED\r\n\r\n" + chunks);
 }
 
--- a/tests/net/reply_flood_test.cpp
+++ b/tests/net/reply_flood_test.cpp
@@ -118,7 +118,15 @@
 };
 
 /** A node's connections to the servers of a test; each server is a replica set of its own. */
-struct flood_fixture {
+class flood_fixture {
+public:
+    flood_fixture() {
+        network = std::make_unique<upstream_network>(poller, clock.timers(), servers, replies, codec(), "");
+    }
+    flood_fixture(const flood_fixture&) = delete;
+    flood_fixture& operator=(const flood_fixture&) = delete;
+    flood_fixture(flood_fixture&&) = delete;
+    flood_fixture& operator=(flood_fixture&&) = delete;
     ~flood_fixture() { servers_thread.stop(); }
 
     void add(const std::string& name, flood_script script, std::uint32_t connections) {
@@ -191,10 +199,6 @@
     std::size_t replied = 0;
     std::size_t most_counted = 0;
     std::vector<attempt_error> errors;
-
-    flood_fixture() {
-        network = std::make_unique<upstream_network>(poller, clock.timers(), servers, replies, codec(), "");
-    }
 };
 
 std::string head_with_length(std::size_t bytes) {
