--- a/soak/routes_text.h
+++ b/soak/routes_text.h
@@ -5,7 +5,6 @@
 
 #include "platform/wire_names.h"
 #include "soak_type.h"
-#include "json/json_view.h"
 
 namespace pollengrade {
 
--- a/standins/standin_upstreams.cpp
+++ b/standins/standin_upstreams.cpp
@@ -189,6 +189,7 @@
             {"straggle_per_mille", &behaviour.straggle_per_mille},
             {"straggle_ms", &behaviour.straggle_ms},
             {"cold_ms", &behaviour.cold_ms},
+            {"body_bytes", &behaviour.body_bytes},
             {"pause_ms", &behaviour.pause_ms}};
         const std::map<std::string, bool*> switches{{"frozen", &behaviour.frozen},
                                                     {"draining", &behaviour.draining},
@@ -275,6 +276,8 @@
         cxxopts::value<std::uint32_t>()->default_value("0"))(
         "straggle-ms", "duration of a slow request", cxxopts::value<std::uint32_t>()->default_value("0"))(
         "rows", "rows in a reply", cxxopts::value<std::uint32_t>()->default_value("3"))(
+        "body-bytes", "size of the bodies of replies to forwarded requests; 0 for a few records",
+        cxxopts::value<std::uint32_t>()->default_value("0"))(
         "seed", "random seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "first-replica", "first replica served by this process",
         cxxopts::value<std::uint32_t>()->default_value("0"))(
@@ -304,6 +307,7 @@
     behaviour.straggle_per_mille = flags["straggle-per-mille"].as<std::uint32_t>();
     behaviour.straggle_ms = flags["straggle-ms"].as<std::uint32_t>();
     behaviour.rows = flags["rows"].as<std::uint32_t>();
+    behaviour.body_bytes = flags["body-bytes"].as<std::uint32_t>();
     loop_clock clock;
     standin_upstreams upstreams{clock, seeded_random(flags["seed"].as<std::uint64_t>())};
     if (!upstreams.listen(flags["control"].as<std::string>(), where, behaviour)) {
--- a/standins/upstream_server.cpp
+++ b/standins/upstream_server.cpp
@@ -299,7 +299,9 @@
 }
 
 void upstream_server::complete_forwarded(const work& it) {
-    const std::string body = part_of(it.request, names_->service);
+    std::string body = part_of(it.request, names_->service);
+    // Records of zeros are the smallest ones, so they change no merged answer.
+    body.resize(std::max<std::size_t>(body.size(), behaviour_.body_bytes), '\0');
     SoupMessageHeaders* headers = soup_server_message_get_response_headers(it.message);
     soup_message_headers_replace(headers, wire_names::request_id,
                                  behaviour_.wrong_request ? "another" : it.request.c_str());
