--- /dev/null
+++ b/packages/net/listener_connection.h
@@ -0,0 +1,79 @@
+/** @file listener_connection.h A caller's connection. */
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "net/http_listener.h"
+#include "net/unique_fd.h"
+
+namespace pollengrade {
+
+/** A caller's connection: repeatedly reads a request, waits for the owner's reply and writes it. */
+class http_listener::connection {
+public:
+    connection(http_listener& owner, connection_key key, unique_fd fd);
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+    connection(connection&&) = delete;
+    connection& operator=(connection&&) = delete;
+    ~connection() { cancel_timer(); }
+
+    [[nodiscard]] bool is_idle() const {
+        return stage_ == stage::reading && parser_.stage() == parse_stage::not_started;
+    }
+    /** Closes the connection unless a request has begun, also one that wasn't read so far. */
+    void close_if_idle();
+    /** Writes the reply to the request that has been passed to the owner. */
+    void reply(const reply_message& message);
+    /** Closes the connection; the object is destroyed in the next loop iteration. */
+    void close();
+
+private:
+    enum class stage : std::uint8_t {
+        reading,   ///< reading a request
+        waiting,   ///< waiting for the owner's reply
+        writing,   ///< writing the reply
+        lingering, ///< the reply has been written; further input is discarded
+        closed,    ///< the connection has ended
+    };
+
+    void expect_request();
+    void on_events(socket_events events);
+    void read();
+    void process_bytes(std::string_view bytes);
+    void dispatch_request();
+    void refuse(unsigned status);
+    void start_writing(std::string bytes, bool keep_alive);
+    void write();
+    /** Closes the connection gracefully: closing it with unread bytes would reset it, and the reply could be
+     * lost. */
+    void linger();
+    void discard_input();
+    void on_disconnected();
+    void on_timeout();
+    void set_timer(duration delay);
+    void cancel_timer();
+
+    http_listener& owner_;          ///< the listener that owns the connection
+    connection_key key_;            ///< its key in the listener
+    unique_fd fd_;                  ///< the socket
+    socket_watch watch_;            ///< must be removed before the socket is closed
+    stage stage_ = stage::reading;  ///< the current stage
+    request_parser parser_{{0, 0}}; ///< for the request being read
+    std::string pipelined_bytes_;   ///< bytes read after the end of the request
+    exchange_id exchange_;          ///< the request that waits for its reply
+    bool keep_alive_ = true;        ///< whether the connection stays open after the reply
+    bool allows_reply_body_ = true; ///< whether the reply may have a body
+    bool continue_sent_ = false;    ///< whether "100 Continue" has been sent
+    std::string output_;            ///< the reply's bytes
+    std::size_t written_ = 0;       ///< bytes of the reply written so far
+    duration header_timeout_{};     ///< in force for this request
+    duration idle_timeout_{};       ///< in force for this request
+    std::optional<timer_id> timer_; ///< the timeout of the current stage
+};
+
+} // namespace pollengrade
