--- a/packages/daemon/document_frontend.cpp
+++ b/packages/daemon/document_frontend.cpp
@@ -15,10 +15,12 @@
 
 } // namespace
 
-document_frontend::document_frontend(const node_settings& settings, socket_poller& poller, router_parts parts)
+document_frontend::document_frontend(const node_settings& settings, socket_poller& poller,
+                                     caller_memory& memory, router_parts parts)
     : servers_{parts.servers}, timers_{parts.timers}, address_{settings.callers}, router_{parts},
       callers_{poller,
                timers_,
+               memory,
                parts.random,
                {[this](caller_request request, answer_hook respond) {
                     return router_.submit(std::move(request), std::move(respond));
--- a/packages/daemon/document_frontend.h
+++ b/packages/daemon/document_frontend.h
@@ -14,9 +14,11 @@
     /**
      * @param settings the node's settings
      * @param poller socket poller of the main loop
+     * @param memory bounds what callers' connections hold
      * @param parts components that requests use
      */
-    document_frontend(const node_settings& settings, socket_poller& poller, router_parts parts);
+    document_frontend(const node_settings& settings, socket_poller& poller, caller_memory& memory,
+                      router_parts parts);
 
     tl::expected<void, listen_error> listen() override { return callers_.listen(address_); }
     bool apply(const config_entry& entry) override;
--- a/packages/daemon/route_frontend.cpp
+++ b/packages/daemon/route_frontend.cpp
@@ -29,9 +29,10 @@
 
 } // namespace
 
-route_frontend::route_frontend(const node_settings& settings, socket_poller& poller, run_context context,
-                               const std::function<std::uint64_t()>& random, delegation_hooks network,
-                               std::function<void()> behind, std::function<void()> store_watchers_changed)
+route_frontend::route_frontend(const node_settings& settings, socket_poller& poller, caller_memory& memory,
+                               run_context context, const std::function<std::uint64_t()>& random,
+                               delegation_hooks network, std::function<void()> behind,
+                               std::function<void()> store_watchers_changed)
     : self_{settings.peers}, callers_address_{settings.callers}, readiness_address_{settings.readiness},
       budget_{settings.budget}, context_{context}, holders_{settings.peers},
       holders_update_{context.timers, holders_min_interval, [this] { compute_holders(); }},
@@ -56,11 +57,13 @@
             }},
       callers_{poller,
                context.timers,
+               memory,
                max_caller_connections,
                {[this](exchange_id id, request_message message) { on_request(id, std::move(message)); },
                 [this](exchange_id id) { on_caller_gone(id); }, [this] { return limits(); }}},
       readiness_{poller,
                  context.timers,
+                 memory,
                  max_balancer_connections,
                  {[this](exchange_id id, const request_message& message) {
                       const bool is_check = is_readiness_check(message);
@@ -150,10 +153,10 @@
     const auto answered = std::make_shared<bool>(false);
     const request_id name = (*request)->id;
     const run_id run =
-        forwarder_.submit(std::move(*request), [this, id, name, answered](const forward_answer& answer) {
+        forwarder_.submit(std::move(*request), [this, id, name, answered](forward_answer answer) {
             *answered = true;
             runs_.erase(id);
-            callers_.reply(id, encode_answer(answer, name));
+            callers_.reply(id, encode_answer(std::move(answer), name));
         });
     if (!*answered)
         runs_[id] = run;
--- a/packages/daemon/route_frontend.h
+++ b/packages/daemon/route_frontend.h
@@ -19,15 +19,17 @@
     /**
      * @param settings the node's settings
      * @param poller socket poller of the main loop
+     * @param memory bounds what callers' connections hold
      * @param context components that all requests share
      * @param random source of random numbers
      * @param network network operations for delegating queries to other nodes
      * @param behind called when another node turns out to hold newer routes
      * @param store_watchers_changed called when the set of holders may have changed
      */
-    route_frontend(const node_settings& settings, socket_poller& poller, run_context context,
-                   const std::function<std::uint64_t()>& random, delegation_hooks network,
-                   std::function<void()> behind, std::function<void()> store_watchers_changed);
+    route_frontend(const node_settings& settings, socket_poller& poller, caller_memory& memory,
+                   run_context context, const std::function<std::uint64_t()>& random,
+                   delegation_hooks network, std::function<void()> behind,
+                   std::function<void()> store_watchers_changed);
 
     tl::expected<void, listen_error> listen() override;
     bool apply(const config_entry& entry) override;
--- a/packages/http/caller_server.cpp
+++ b/packages/http/caller_server.cpp
@@ -101,11 +101,12 @@
 
 } // namespace
 
-caller_server::caller_server(socket_poller& poller, timer_queue& timers,
+caller_server::caller_server(socket_poller& poller, timer_queue& timers, caller_memory& memory,
                              std::function<std::uint64_t()> random, caller_hooks hooks)
     : random_{std::move(random)}, hooks_{std::move(hooks)},
       listener_{poller,
                 timers,
+                memory,
                 max_connections,
                 {[this](exchange_id id, const request_message& message) { on_request(id, message); },
                  [this](exchange_id id) {
--- a/packages/http/caller_server.h
+++ b/packages/http/caller_server.h
@@ -30,11 +30,12 @@
     /**
      * @param poller polls the sockets on the event loop
      * @param timers schedules timeouts
+     * @param memory bounds what the connections hold
      * @param random random numbers for request IDs
      * @param hooks the node's operations
      */
-    caller_server(socket_poller& poller, timer_queue& timers, std::function<std::uint64_t()> random,
-                  caller_hooks hooks);
+    caller_server(socket_poller& poller, timer_queue& timers, caller_memory& memory,
+                  std::function<std::uint64_t()> random, caller_hooks hooks);
 
     /** Starts listening on "IPv4:port". */
     tl::expected<void, listen_error> listen(const node_address& address);
--- a/packages/net/client_connection.cpp
+++ b/packages/net/client_connection.cpp
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include <sys/socket.h>
-#include <sys/uio.h>
 
 namespace pollengrade {
 
@@ -99,23 +98,10 @@
 }
 
 void client_connection::write() {
-    const std::size_t header = request_.header.size();
-    const std::size_t total = header + (request_.body ? request_.body->size() : 0);
+    const std::string_view body = request_.body ? std::string_view{*request_.body} : std::string_view{};
+    const std::size_t total = request_.header.size() + body.size();
     while (written_ < total) {
-        std::array<iovec, 2> pieces{};
-        std::size_t count = 0;
-        if (written_ < header)
-            pieces.at(count++) = {request_.header.data() + written_, header - written_};
-        if (request_.body) {
-            const std::size_t from = written_ > header ? written_ - header : 0;
-            // sendmsg() only reads the buffer, but iovec has no const pointer.
-            pieces.at(count++) = {const_cast<char*>(request_.body->data()) + from, // NOLINT(*-const-cast)
-                                  request_.body->size() - from};
-        }
-        msghdr message{};
-        message.msg_iov = pieces.data();
-        message.msg_iovlen = count;
-        const ssize_t n = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
+        const ssize_t n = send_pieces(fd_, request_.header, body, written_);
         if (n < 0)
             return; // The buffer is full or the connection failed; the next event shows which.
         written_ += static_cast<std::size_t>(n);
--- a/packages/net/http_listener.cpp
+++ b/packages/net/http_listener.cpp
@@ -18,9 +18,10 @@
 
 } // namespace
 
-http_listener::http_listener(socket_poller& poller, timer_queue& timers, std::size_t max_connections,
-                             listener_hooks hooks)
-    : poller_{poller}, timers_{timers}, max_connections_{max_connections}, hooks_{std::move(hooks)} {}
+http_listener::http_listener(socket_poller& poller, timer_queue& timers, caller_memory& memory,
+                             std::size_t max_connections, listener_hooks hooks)
+    : poller_{poller}, timers_{timers}, memory_{memory}, max_connections_{max_connections}, hooks_{std::move(
+                                                                                                hooks)} {}
 
 http_listener::~http_listener() = default;
 
@@ -70,13 +71,13 @@
     update_accepting();
 }
 
-void http_listener::reply(exchange_id id, const reply_message& message) {
+void http_listener::reply(exchange_id id, reply_message message) {
     const auto node = exchanges_.extract(id);
     if (node.empty())
         return;
     const auto it = connections_.find(node.mapped());
     assert(it != connections_.end());
-    it->second->reply(message);
+    it->second->reply(std::move(message));
 }
 
 void http_listener::close_idle() {
--- a/packages/net/http_listener.h
+++ b/packages/net/http_listener.h
@@ -13,6 +13,7 @@
 #include "core/base/message_type.h"
 #include "core/base/strong_type.h"
 #include "core/base/timer_queue.h"
+#include "net/caller_memory.h"
 #include "net/message_parser.h"
 #include "net/socket_poller.h"
 
@@ -47,11 +48,12 @@
     /**
      * @param poller watches the sockets
      * @param timers for timeouts
+     * @param memory bounds what the connections hold
      * @param max_connections limit of open connections; further ones wait to be accepted
      * @param hooks callbacks to the owner
      */
-    http_listener(socket_poller& poller, timer_queue& timers, std::size_t max_connections,
-                  listener_hooks hooks);
+    http_listener(socket_poller& poller, timer_queue& timers, caller_memory& memory,
+                  std::size_t max_connections, listener_hooks hooks);
     http_listener(const http_listener&) = delete;
     http_listener& operator=(const http_listener&) = delete;
     http_listener(http_listener&&) = delete;
@@ -61,7 +63,7 @@
     /** Starts to listen on "IPv4:port". */
     tl::expected<void, listen_error> listen(std::string_view address);
     /** Answers a request. The reply is dropped if the caller has disconnected. */
-    void reply(exchange_id id, const reply_message& message);
+    void reply(exchange_id id, reply_message message);
     /** Closes each connection after its next reply, from now on. */
     void disable_keep_alive() { keep_alive_enabled_ = false; }
     /** Closes the listening socket, once the connections that wait for it are accepted. */
@@ -84,6 +86,7 @@
 
     socket_poller& poller_;       ///< watches the sockets
     timer_queue& timers_;         ///< for timeouts
+    caller_memory& memory_;       ///< bounds what the connections hold
     std::size_t max_connections_; ///< limit of open connections
     listener_hooks hooks_;        ///< callbacks to the owner
     unique_fd listener_;          ///< the listening socket
--- a/packages/net/listener_connection.cpp
+++ b/packages/net/listener_connection.cpp
@@ -7,7 +7,6 @@
 
 #include <sys/socket.h>
 
-#include "net/message_writer.h"
 #include "net/round_trip_func.h"
 #include "net/socket_func.h"
 
@@ -41,12 +40,21 @@
 }
 
 constexpr unsigned request_timeout_status = 408; ///< the request wasn't read completely and therefore not run
+constexpr unsigned unavailable_status = 503;
+constexpr std::string_view no_room_retry_after =
+    "1"; ///< seconds until others have been given up, or answered
 constexpr std::string_view continue_reply = "HTTP/1.1 100 Continue\r\n\r\n";
 
+reply_message reply_with(unsigned status) {
+    reply_message message;
+    message.status = status;
+    return message;
+}
+
 } // namespace
 
 http_listener::connection::connection(http_listener& owner, connection_key key, unique_fd fd)
-    : owner_{owner}, key_{key}, fd_{std::move(fd)} {
+    : owner_{owner}, key_{key}, fd_{std::move(fd)}, memory_{owner.memory_, [this] { give_up(); }} {
     watch_ = owner_.poller_.add(fd_, {true, false}, [this](socket_events events) { on_events(events); });
     expect_request();
 }
@@ -58,11 +66,12 @@
         close();
 }
 
-void http_listener::connection::reply(const reply_message& message) {
+void http_listener::connection::reply(reply_message message) {
     assert(stage_ == stage::waiting);
     const bool keep_alive = keep_alive_ && owner_.keep_alive_enabled_ && message.keep_alive;
     exchange_ = exchange_id{};
-    start_writing(encode_reply(message, keep_alive, allows_reply_body_), keep_alive);
+    memory_.clear();
+    start_writing(encode_reply(std::move(message), keep_alive, allows_reply_body_), keep_alive);
 }
 
 void http_listener::connection::close() {
@@ -70,6 +79,7 @@
         return;
     stage_ = stage::closed;
     cancel_timer();
+    memory_.clear();
     watch_.reset();
     fd_ = unique_fd{};
     owner_.retire(key_);
@@ -116,7 +126,7 @@
     const parse_stage before = parser_.stage();
     const auto used = parser_.feed(bytes);
     if (!used) {
-        refuse(status_of(used.error()));
+        refuse(reply_with(status_of(used.error())));
         return;
     }
     // Bytes of a pipelined request are kept until the current request has been answered.
@@ -132,9 +142,16 @@
         if (parser_.expects_continue() && !std::exchange(continue_sent_, true))
             ::send(fd_.get(), continue_reply.data(), continue_reply.size(), MSG_NOSIGNAL);
     }
+    if (!memory_.set(holding_kind::request, parser_.allocated_bytes()))
+        refuse_for_room();
 }
 
 void http_listener::connection::dispatch_request() {
+    const std::size_t held = parser_.allocated_bytes() + pipelined_bytes_.capacity();
+    if (!memory_.set(holding_kind::run, held)) {
+        refuse_for_room();
+        return;
+    }
     cancel_timer();
     stage_ = stage::waiting;
     request_message message = parser_.take();
@@ -148,28 +165,52 @@
     owner_.hooks_.requested(exchange_, std::move(message));
 }
 
-void http_listener::connection::refuse(unsigned status) {
-    reply_message message;
-    message.status = status;
+void http_listener::connection::refuse(reply_message message) {
+    parser_ = request_parser{{0, 0}};
+    pipelined_bytes_ = {};
+    memory_.clear();
     allows_reply_body_ = true;
-    start_writing(encode_reply(message, false, true), false);
+    start_writing(encode_reply(std::move(message), false, true), false);
+}
+
+void http_listener::connection::refuse_for_room() {
+    // The request was not passed on, so the promise of this status is true.
+    reply_message message = reply_with(unavailable_status);
+    message.fields.push_back({"Retry-After", std::string{no_room_retry_after}});
+    refuse(std::move(message));
 }
 
-void http_listener::connection::start_writing(std::string bytes, bool keep_alive) {
+void http_listener::connection::give_up() {
+    if (stage_ == stage::reading)
+        refuse_for_room();
+    else
+        abort();
+}
+
+void http_listener::connection::abort() {
+    reset_on_close(fd_);
+    close();
+}
+
+void http_listener::connection::start_writing(encoded_reply reply, bool keep_alive) {
     stage_ = stage::writing;
     keep_alive_ = keep_alive;
-    output_ = std::move(bytes);
+    output_ = std::move(reply);
     written_ = 0;
     set_timer(write_timeout);
     write();
-    if (stage_ == stage::writing)
-        watch_.set_interest({false, true});
+    if (stage_ != stage::writing)
+        return;
+    watch_.set_interest({false, true});
+    const std::size_t held = output_.head.capacity() + output_.body.capacity() + pipelined_bytes_.capacity();
+    if (!memory_.set(holding_kind::reply, held))
+        abort();
 }
 
 void http_listener::connection::write() {
-    while (written_ < output_.size()) {
-        const ssize_t n =
-            ::send(fd_.get(), output_.data() + written_, output_.size() - written_, MSG_NOSIGNAL);
+    const std::size_t total = output_.head.size() + output_.body.size();
+    while (written_ < total) {
+        const ssize_t n = send_pieces(fd_, output_.head, output_.body, written_);
         if (n < 0 && would_block())
             return;
         if (n < 0) {
@@ -179,14 +220,23 @@
         written_ += static_cast<std::size_t>(n);
     }
     output_ = {};
+    memory_.clear();
     if (!keep_alive_) {
         linger();
         return;
     }
     expect_request();
     watch_.set_interest({true, false});
-    if (!pipelined_bytes_.empty())
+    process_pipelined();
+}
+
+void http_listener::connection::process_pipelined() {
+    // A request that is answered at once ends here again, while the loop below is running.
+    if (std::exchange(in_pipeline_, true))
+        return;
+    while (stage_ == stage::reading && !pipelined_bytes_.empty())
         process_bytes(std::exchange(pipelined_bytes_, {}));
+    in_pipeline_ = false;
 }
 
 void http_listener::connection::linger() {
@@ -219,7 +269,7 @@
     timer_.reset();
     const bool has_begun_request = stage_ == stage::reading && parser_.stage() != parse_stage::not_started;
     if (has_begun_request)
-        refuse(request_timeout_status);
+        refuse(reply_with(request_timeout_status));
     else
         close();
 }
--- a/packages/net/listener_connection.h
+++ b/packages/net/listener_connection.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "net/http_listener.h"
+#include "net/message_writer.h"
 #include "net/unique_fd.h"
 
 namespace pollengrade {
@@ -28,7 +29,7 @@
     /** Closes the connection unless a request has begun, also one that wasn't read so far. */
     void close_if_idle();
     /** Writes the reply to the request that has been passed to the owner. */
-    void reply(const reply_message& message);
+    void reply(reply_message message);
     /** Closes the connection; the object is destroyed in the next loop iteration. */
     void close();
 
@@ -46,9 +47,16 @@
     void read();
     void process_bytes(std::string_view bytes);
     void dispatch_request();
-    void refuse(unsigned status);
-    void start_writing(std::string bytes, bool keep_alive);
+    /** Refuses the request that is being read, and closes the connection after the reply. */
+    void refuse(reply_message message);
+    void refuse_for_room();
+    /** Releases what the connection holds because others need the room. */
+    void give_up();
+    /** Closes the connection and discards what has not been sent. */
+    void abort();
+    void start_writing(encoded_reply reply, bool keep_alive);
     void write();
+    void process_pipelined();
     /** Closes the connection gracefully: closing it with unread bytes would reset it, and the reply could be
      * lost. */
     void linger();
@@ -65,15 +73,17 @@
     stage stage_ = stage::reading;  ///< the current stage
     request_parser parser_{{0, 0}}; ///< for the request being read
     std::string pipelined_bytes_;   ///< bytes read after the end of the request
+    bool in_pipeline_ = false;      ///< whether process_pipelined() is running
     exchange_id exchange_;          ///< the request that waits for its reply
     bool keep_alive_ = true;        ///< whether the connection stays open after the reply
     bool allows_reply_body_ = true; ///< whether the reply may have a body
     bool continue_sent_ = false;    ///< whether "100 Continue" has been sent
-    std::string output_;            ///< the reply's bytes
+    encoded_reply output_;          ///< the reply's bytes
     std::size_t written_ = 0;       ///< bytes of the reply written so far
     duration header_timeout_{};     ///< in force for this request
     duration idle_timeout_{};       ///< in force for this request
     std::optional<timer_id> timer_; ///< the timeout of the current stage
+    memory_holding memory_;         ///< the bytes of all members above that hold any
 };
 
 } // namespace pollengrade
--- a/packages/net/message_parser.cpp
+++ b/packages/net/message_parser.cpp
@@ -59,6 +59,7 @@
     message& parsed_message() noexcept { return message_; }
     [[nodiscard]] const message_limits& limits() const noexcept { return limits_; }
     [[nodiscard]] std::size_t held_bytes() const { return field_bytes_ + message_.body.size(); }
+    [[nodiscard]] std::size_t allocated_bytes() const { return field_bytes_ + message_.body.capacity(); }
 
 private:
     void on_request_impl(http::verb, text method, text target, int version, error_code&) override {
@@ -157,6 +158,10 @@
     return pending_.size() + reader_->held_bytes();
 }
 
+template <bool IsRequest> std::size_t message_parser<IsRequest>::allocated_bytes() const {
+    return pending_.capacity() + reader_->allocated_bytes();
+}
+
 template <bool IsRequest> std::optional<std::size_t> message_parser<IsRequest>::stated_body_bytes() const {
     if (!reader_->is_header_done())
         return std::nullopt;
--- a/packages/net/message_parser.h
+++ b/packages/net/message_parser.h
@@ -68,6 +68,8 @@
     [[nodiscard]] parse_stage stage() const noexcept;
     /** @return the memory that the message occupies so far, in bytes. */
     [[nodiscard]] std::size_t held_bytes() const;
+    /** @return the memory that is allocated for the message so far, in bytes. */
+    [[nodiscard]] std::size_t allocated_bytes() const;
     /** @return the size of the whole body; nullopt until the head is complete, or if the head does not tell.
      */
     [[nodiscard]] std::optional<std::size_t> stated_body_bytes() const;
--- a/packages/net/message_writer.cpp
+++ b/packages/net/message_writer.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <ostream>
 #include <string>
+#include <utility>
 
 #include <boost/beast/http/status.hpp>
 
@@ -17,7 +18,8 @@
     "Proxy-Authorization", "Proxy-Connection", "TE",
     "Transfer-Encoding",   "Trailer",          "Upgrade"};
 constexpr std::string_view length_name = "Content-Length";
-constexpr std::size_t reserved_header_bytes = 512; ///< reserved in the output buffer ahead
+constexpr std::size_t reserved_header_bytes = 512;               ///< reserved in the output buffer ahead
+constexpr std::size_t short_body_bytes = std::size_t{16} * 1024; ///< such a body is copied behind the head
 constexpr unsigned no_content_status = 204;
 constexpr unsigned not_modified_status = 304;
 
@@ -63,9 +65,11 @@
     buf.append(name).append(": ").append(value).append("\r\n");
 }
 
-std::string encode_reply(const reply_message& message, bool keep_alive, bool allows_reply_body) {
-    std::string buf;
-    buf.reserve(reserved_header_bytes + message.body.size());
+encoded_reply encode_reply(reply_message message, bool keep_alive, bool allows_reply_body) {
+    const bool is_short = message.body.size() <= short_body_bytes;
+    encoded_reply reply;
+    std::string& buf = reply.head;
+    buf.reserve(reserved_header_bytes + (is_short ? message.body.size() : 0));
     const auto reason =
         boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(message.status));
     buf.append("HTTP/1.1 ").append(std::to_string(message.status)).append(" ");
@@ -78,9 +82,13 @@
     if (!keep_alive)
         append_field(buf, "Connection", "close");
     buf.append("\r\n");
-    if (allows_reply_body && !has_no_body)
-        buf.append(message.body);
-    return buf;
+    if (allows_reply_body && !has_no_body) {
+        if (is_short)
+            buf.append(message.body);
+        else
+            reply.body = std::move(message.body);
+    }
+    return reply;
 }
 
 void append_request_header(std::string& buf, const request_message& message, std::size_t body_size) {
--- a/packages/net/message_writer.h
+++ b/packages/net/message_writer.h
@@ -16,13 +16,19 @@
  */
 void remove_hop_by_hop(message_fields& fields);
 
+/** An encoded reply, in two pieces so that a long body is not copied. */
+struct encoded_reply {
+    std::string head; ///< start line and header lines, and a short body
+    std::string body; ///< a long body; empty otherwise
+};
+
 /**
  * @param message the reply; its fields must not include framing and connection lines, which are added here
  * @param keep_alive whether the connection stays open after the reply
  * @param allows_reply_body whether a reply to the request's method may have a body
  * @return the encoded reply
  */
-[[nodiscard]] std::string encode_reply(const reply_message& message, bool keep_alive, bool allows_reply_body);
+[[nodiscard]] encoded_reply encode_reply(reply_message message, bool keep_alive, bool allows_reply_body);
 
 /**
  * Appends a request's start line and header lines, without the empty line that ends them.
--- a/packages/net/socket_func.cpp
+++ b/packages/net/socket_func.cpp
@@ -1,6 +1,7 @@
 /** @file socket_func.cpp TCP sockets through system calls. */
 #include "net/socket_func.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -11,6 +12,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 namespace pollengrade {
@@ -106,6 +108,29 @@
     return fd;
 }
 
+void reset_on_close(const unique_fd& fd) {
+    const linger at_once{1, 0};
+    ::setsockopt(fd.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
+ssize_t send_pieces(const unique_fd& fd, std::string_view first, std::string_view second,
+                    std::size_t written) {
+    std::array<iovec, 2> pieces{};
+    std::size_t count = 0;
+    for (std::string_view piece : {first, second}) {
+        const std::size_t skipped = std::min(written, piece.size());
+        written -= skipped;
+        piece.remove_prefix(skipped);
+        // sendmsg() only reads the buffer, but iovec has no const pointer.
+        if (!piece.empty())
+            pieces.at(count++) = {const_cast<char*>(piece.data()), piece.size()}; // NOLINT(*-const-cast)
+    }
+    msghdr message{};
+    message.msg_iov = pieces.data();
+    message.msg_iovlen = count;
+    return ::sendmsg(fd.get(), &message, MSG_NOSIGNAL);
+}
+
 std::string peer_of(const unique_fd& fd) {
     sockaddr_in peer{};
     socklen_t size = sizeof peer;
--- a/packages/net/socket_func.h
+++ b/packages/net/socket_func.h
@@ -1,11 +1,14 @@
 /** @file socket_func.h Non-blocking TCP sockets over IPv4: listen, accept and connect. */
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include <sys/types.h>
+
 #include "core/base/time_type.h"
 #include "net/unique_fd.h"
 
@@ -35,6 +38,16 @@
 [[nodiscard]] unique_fd start_connect(std::string_view address, const keepalive_limits& limits,
                                       std::string_view source = {});
 
+/** Makes the next close of a socket discard what has not been sent; the peer sees a reset. */
+void reset_on_close(const unique_fd& fd);
+
+/**
+ * Writes two pieces that follow each other, of which the first @p written bytes have been written already.
+ * @return as send()
+ */
+[[nodiscard]] ssize_t send_pieces(const unique_fd& fd, std::string_view first, std::string_view second,
+                                  std::size_t written);
+
 /** @return the IPv4 address of a socket's peer; empty if there is none. */
 [[nodiscard]] std::string peer_of(const unique_fd& fd);
 
--- a/soak/link_proxy.cpp
+++ b/soak/link_proxy.cpp
@@ -18,12 +18,6 @@
     std::size_t{1024} *
     1024; ///< per direction; at the limit reading stops, so that the sender is slowed by TCP flow control
 
-/** Makes closing the socket send a TCP reset. */
-void reset_on_close(const unique_fd& fd) {
-    const linger it{1, 0};
-    ::setsockopt(fd.get(), SOL_SOCKET, SO_LINGER, &it, sizeof it);
-}
-
 } // namespace
 
 /** One proxied connection. */
--- a/tests/fuzz/fuzz_inputs.cpp
+++ b/tests/fuzz/fuzz_inputs.cpp
@@ -68,7 +68,8 @@
     reply_message passed_on = it;
     remove_hop_by_hop(passed_on.fields);
     reply_parser parser{{8 * limits.header_bytes, limits.body_bytes}};
-    require(parser.feed(encode_reply(passed_on, true, true)).has_value());
+    const encoded_reply encoded = encode_reply(passed_on, true, true);
+    require(parser.feed(encoded.head + encoded.body).has_value());
     require(parser.stage() == parse_stage::complete);
     const reply_message read = parser.take();
     require(read.status == it.status && read.keep_alive);
--- a/tests/net/listener_stop_test.cpp
+++ b/tests/net/listener_stop_test.cpp
@@ -58,8 +58,11 @@
     loop_clock clock;
     socket_poller poller{clock};
     int requests = 0;
+    metrics counts;
+    caller_memory memory{1'000'000, clock.timers(), counts};
     http_listener listener{poller,
                            clock.timers(),
+                           memory,
                            16,
                            {[this](exchange_id id, const request_message&) {
                                 ++requests;
