--- a/packages/net/socket_func.cpp
+++ b/packages/net/socket_func.cpp
@@ -108,6 +108,11 @@
     return fd;
 }
 
+void limit_buffers(const unique_fd& listener, int bytes) {
+    set_option(listener, SOL_SOCKET, SO_SNDBUF, bytes);
+    set_option(listener, SOL_SOCKET, SO_RCVBUF, bytes);
+}
+
 void reset_on_close(const unique_fd& fd) {
     const linger at_once{1, 0};
     ::setsockopt(fd.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
--- a/packages/net/socket_func.h
+++ b/packages/net/socket_func.h
@@ -38,6 +38,12 @@
 [[nodiscard]] unique_fd start_connect(std::string_view address, const keepalive_limits& limits,
                                       std::string_view source = {});
 
+/**
+ * Bounds the kernel's buffers of all connections that a listening socket accepts from now on.
+ * @param bytes for each direction; the kernel takes up to twice as much
+ */
+void limit_buffers(const unique_fd& listener, int bytes);
+
 /** Makes the next close of a socket discard what has not been sent; the peer sees a reset. */
 void reset_on_close(const unique_fd& fd);
 
