Fix: a gather that waits keeps only the records that its answer may need

Callers saw: the process out of memory, when answers to queries over many shards wait for the last shard and the parts are long.

Change: of a part above 16 KiB only the greatest records are kept when it arrives, as many as the answer may have. The greatest records of all parts are among the greatest of each, so the answer is the same (forward_test.cpp). Shorter parts, as sound services send them, are kept as they are and cost no sorting twice.

Not bounded by this: routes whose top-k is itself large keep up to that many records of each part.

--- a/packages/core/queries/forward_run.cpp
+++ b/packages/core/queries/forward_run.cpp
@@ -13,6 +13,8 @@
 
 constexpr duration deadline_margin =
     std::chrono::milliseconds{5}; ///< reserved for sending the answer to the caller
+/** Of a longer part only the records that the answer may need are kept, as it may wait for others. */
+constexpr std::size_t long_part_bytes = std::size_t{16} * 1024;
 constexpr duration refused_retry_after = std::chrono::milliseconds{50}; ///< when a refused caller may retry
 
 } // namespace
@@ -98,6 +100,8 @@
     if (reply.signature.empty() || is_duplicate)
         return attempt_error::malformed;
     signatures_.push_back(std::move(reply.signature));
+    if (reply.message.body.size() > long_part_bytes)
+        reply.message.body = merge_records({&reply.message.body, 1}, job_.via->max_records);
     bodies_.push_back(std::move(reply.message.body));
     return std::nullopt;
 }
--- a/packages/net/http_listener.cpp
+++ b/packages/net/http_listener.cpp
@@ -13,7 +13,8 @@
 namespace {
 
 constexpr int max_accepts_per_turn = 32; ///< further connections wait for the next loop iteration
-/** Of each connection and direction. What a caller neither reads nor lets this node read stays in the kernel. */
+/** Of each connection and direction. What a caller neither reads nor lets this node read stays in the kernel.
+ */
 constexpr int kernel_buffer_bytes = 16 * 1024;
 /** Delay after a failed accept, for example when the process is out of descriptors. */
 constexpr duration accept_pause = std::chrono::milliseconds{100};
--- a/tests/core/queries/forward_test.cpp
+++ b/tests/core/queries/forward_test.cpp
@@ -85,6 +85,24 @@
     CHECK(answer->records == high + high + std::string(16, 'm'));
 }
 
+TEST_CASE("a long part of a gather gives the same records as a short one") {
+    fixture it;
+    it.submit("/search/x");
+    const std::string low(16, 'a');
+    const std::string middle(16, 'm');
+    const std::string high(16, 'z');
+    std::string filling;
+    while (filling.size() < 100'000)
+        filling += low;
+    it.answer("s0", filling + high + filling + middle + "short");
+    it.answer("s1", high + filling);
+    it.answer("s2", low);
+    it.answer("s3", filling);
+    const auto* answer = it.last<gathered_answer>();
+    REQUIRE(answer != nullptr);
+    CHECK(answer->records == high + high + middle);
+}
+
 TEST_CASE("near its target a gather ends once enough shards have replied, and not before") {
     fixture it;
     it.submit("/search/x");
