Fix: a crowd that holds all places does not keep ordinary callers out

Callers saw: no answer, for as long as others held all connections that a node accepts, or all its descriptors: up to the idle time-out of 15 s for connections that send nothing, and without end for bodies of which a byte comes now and then.

Cause: at its limit a listener accepted nothing more and closed nothing. Below the limit of 3,000 the process could run out of descriptors (it kept the system's soft limit, often 1,024), and then had none for its servers either.

Ruled out: a limit for each address, since the platform's balancer may stand between; closing the newest, which is the ordinary caller.

Change: a listener that is full closes connections that are little used, in the order that place_func.h tells, when another one waits to be accepted. An idle connection is read first, so a request that has arrived on it is served. Callers take three quarters of the descriptors at most, and the daemon raises its soft limit to the hard one. Defaults stay at 3,000 and 10,000.

--- a/packages/daemon/document_frontend.cpp
+++ b/packages/daemon/document_frontend.cpp
@@ -21,6 +21,7 @@
       callers_{poller,
                timers_,
                memory,
+               parts.counts,
                parts.random,
                {[this](caller_request request, answer_hook respond) {
                     return router_.submit(std::move(request), std::move(respond));
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -153,5 +153,6 @@
     if (std::signal(SIGHUP, SIG_IGN) == SIG_ERR)
         return EXIT_FAILURE;
     pollengrade::keep_large_buffers_out_of_heap();
+    pollengrade::raise_descriptor_limit();
     return pollengrade::run_program("pollengraded", [&] { return pollengrade::run(argc, argv); });
 }
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -98,6 +98,7 @@
           poller_,
           clock_.timers(),
           callers_,
+          counts_,
           {{"/metrics", {std::string{metrics_type}, [this] { return counts_.render(); }}},
            {"/status", {"application/json", [this] { return status() + "\n"; }}},
            {"/timeline", {"application/json", [this] { return encode_events(settings_.name, log_) + "\n"; }}},
--- a/packages/daemon/route_frontend.cpp
+++ b/packages/daemon/route_frontend.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <utility>
 
+#include "net/socket_func.h"
 #include "platform/forward_codec.h"
 #include "platform/route_decoder.h"
 #include "runtime/loop_clock.h"
@@ -58,12 +59,14 @@
       callers_{poller,
                context.timers,
                memory,
-               max_caller_connections,
+               context.counts,
+               connections_within_descriptors(max_caller_connections),
                {[this](exchange_id id, request_message message) { on_request(id, std::move(message)); },
                 [this](exchange_id id) { on_caller_gone(id); }, [this] { return limits(); }}},
       readiness_{poller,
                  context.timers,
                  memory,
+                 context.counts,
                  max_balancer_connections,
                  {[this](exchange_id id, const request_message& message) {
                       const bool is_check = is_readiness_check(message);
--- a/packages/http/caller_server.cpp
+++ b/packages/http/caller_server.cpp
@@ -12,6 +12,7 @@
 #include "core/queries/idempotency_key.h"
 #include "http/codec.h"
 #include "http/header_names.h"
+#include "net/socket_func.h"
 #include "json/json_view.h"
 
 namespace pollengrade {
@@ -102,12 +103,13 @@
 } // namespace
 
 caller_server::caller_server(socket_poller& poller, timer_queue& timers, caller_memory& memory,
-                             std::function<std::uint64_t()> random, caller_hooks hooks)
+                             metrics& counts, std::function<std::uint64_t()> random, caller_hooks hooks)
     : random_{std::move(random)}, hooks_{std::move(hooks)},
       listener_{poller,
                 timers,
                 memory,
-                max_connections,
+                counts,
+                connections_within_descriptors(max_connections),
                 {[this](exchange_id id, const request_message& message) { on_request(id, message); },
                  [this](exchange_id id) {
                      if (const auto node = runs_.extract(id); !node.empty())
--- a/packages/http/caller_server.h
+++ b/packages/http/caller_server.h
@@ -31,10 +31,11 @@
      * @param poller polls the sockets on the event loop
      * @param timers schedules timeouts
      * @param memory bounds what the connections hold
+     * @param counts counts connections closed for others
      * @param random random numbers for request IDs
      * @param hooks the node's operations
      */
-    caller_server(socket_poller& poller, timer_queue& timers, caller_memory& memory,
+    caller_server(socket_poller& poller, timer_queue& timers, caller_memory& memory, metrics& counts,
                   std::function<std::uint64_t()> random, caller_hooks hooks);
 
     /** Starts listening on "IPv4:port". */
--- a/packages/http/operator_server.cpp
+++ b/packages/http/operator_server.cpp
@@ -20,11 +20,12 @@
 } // namespace
 
 operator_server::operator_server(socket_poller& poller, timer_queue& timers, caller_memory& memory,
-                                 std::map<std::string, operator_page, std::less<>> pages)
+                                 metrics& counts, std::map<std::string, operator_page, std::less<>> pages)
     : pages_{std::move(pages)}, listener_{
                                     poller,
                                     timers,
                                     memory,
+                                    counts,
                                     max_connections,
                                     {[this](exchange_id id, const request_message& message) {
                                          listener_.reply(id, reply_to(message));
--- a/packages/http/operator_server.h
+++ b/packages/http/operator_server.h
@@ -25,9 +25,10 @@
      * @param poller polls the sockets on the event loop
      * @param timers schedules timeouts
      * @param memory bounds what the connections hold
+     * @param counts counts connections closed for others
      * @param pages pages by path, such as "/metrics"
      */
-    operator_server(socket_poller& poller, timer_queue& timers, caller_memory& memory,
+    operator_server(socket_poller& poller, timer_queue& timers, caller_memory& memory, metrics& counts,
                     std::map<std::string, operator_page, std::less<>> pages);
 
     /** Starts listening on "IPv4:port". */
--- a/packages/net/http_listener.cpp
+++ b/packages/net/http_listener.cpp
@@ -6,13 +6,15 @@
 #include <vector>
 
 #include "net/listener_connection.h"
+#include "net/place_func.h"
 #include "net/socket_func.h"
 
 namespace pollengrade {
 
 namespace {
 
-constexpr int max_accepts_per_turn = 32; ///< further connections wait for the next loop iteration
+constexpr std::size_t freed_at_once = 16; ///< places, so that a crowd does not cost a search for each of them
+constexpr int max_accepts_per_turn = 32;  ///< further connections wait for the next loop iteration
 /** Of each connection and direction. What a caller neither reads nor lets this node read stays in the kernel.
  */
 constexpr int kernel_buffer_bytes = 16 * 1024;
@@ -22,9 +24,9 @@
 } // namespace
 
 http_listener::http_listener(socket_poller& poller, timer_queue& timers, caller_memory& memory,
-                             std::size_t max_connections, listener_hooks hooks)
-    : poller_{poller}, timers_{timers}, memory_{memory}, max_connections_{max_connections}, hooks_{std::move(
-                                                                                                hooks)} {}
+                             metrics& counts, std::size_t max_connections, listener_hooks hooks)
+    : poller_{poller}, timers_{timers}, memory_{memory}, counts_{counts},
+      max_connections_{max_connections}, hooks_{std::move(hooks)} {}
 
 http_listener::~http_listener() = default;
 
@@ -39,30 +41,53 @@
 }
 
 void http_listener::accept() {
-    for (int n = 0; n < max_accepts_per_turn && connections_.size() < max_connections_; ++n) {
+    for (int n = 0; n < max_accepts_per_turn; ++n) {
+        const bool is_full = connections_.size() >= max_connections_;
+        if (is_full && !is_readable(listener_))
+            return;
+        if (is_full && !make_place()) {
+            pause_accepting();
+            return;
+        }
         unique_fd fd = accept_from(listener_, slow_keepalive_limits());
         if (!fd.is_valid()) {
             if (would_block())
                 return;
             // Out of descriptors, or the caller has disconnected again: retry later, not in every loop
             // iteration.
-            accepting_ = false;
-            watch_.set_interest({});
-            timers_.schedule_after(accept_pause, [this] { update_accepting(); });
+            make_place();
+            pause_accepting();
             return;
         }
         const connection_key key = next_key_++;
         connections_.emplace(key, std::make_unique<connection>(*this, key, std::move(fd)));
     }
-    update_accepting();
 }
 
-void http_listener::update_accepting() {
-    if (!listener_.is_valid())
-        return;
-    const bool wanted = connections_.size() < max_connections_;
-    if (std::exchange(accepting_, wanted) != wanted)
-        watch_.set_interest({wanted, false});
+bool http_listener::make_place() {
+    std::vector<place> places;
+    places.reserve(connections_.size());
+    for (const auto& [key, it] : connections_)
+        places.push_back({key, it->use(), it->unchanged_since()});
+    for (const connection_key key : places_to_free(std::move(places), timers_.now(), freed_at_once)) {
+        const auto it = connections_.find(key);
+        if (it == connections_.end())
+            continue; // Given up meanwhile, for its memory.
+        ++counts_.counter("callers_displaced");
+        it->second->displace();
+    }
+    return connections_.size() < max_connections_;
+}
+
+void http_listener::pause_accepting() {
+    accepting_ = false;
+    watch_.set_interest({});
+    timers_.schedule_after(accept_pause, [this] { resume_accepting(); });
+}
+
+void http_listener::resume_accepting() {
+    if (listener_.is_valid() && !std::exchange(accepting_, true))
+        watch_.set_interest({true, false});
 }
 
 void http_listener::retire(connection_key key) {
@@ -72,7 +97,7 @@
     if (retired_.empty())
         timers_.schedule_after(duration{0}, [this] { retired_.clear(); });
     retired_.push_back(std::move(node.mapped()));
-    update_accepting();
+    resume_accepting();
 }
 
 void http_listener::reply(exchange_id id, reply_message message) {
--- a/packages/net/http_listener.h
+++ b/packages/net/http_listener.h
@@ -49,10 +49,12 @@
      * @param poller watches the sockets
      * @param timers for timeouts
      * @param memory bounds what the connections hold
-     * @param max_connections limit of open connections; further ones wait to be accepted
+     * @param counts counts connections closed for others
+     * @param max_connections limit of open connections; for a further one, little used ones are closed, and
+     * it waits to be accepted while there are none
      * @param hooks callbacks to the owner
      */
-    http_listener(socket_poller& poller, timer_queue& timers, caller_memory& memory,
+    http_listener(socket_poller& poller, timer_queue& timers, caller_memory& memory, metrics& counts,
                   std::size_t max_connections, listener_hooks hooks);
     http_listener(const http_listener&) = delete;
     http_listener& operator=(const http_listener&) = delete;
@@ -82,11 +84,16 @@
 
     void accept();
     void retire(connection_key key);
-    void update_accepting();
+    /** Stops to accept for a moment, or until a connection is closed. */
+    void pause_accepting();
+    void resume_accepting();
+    /** Closes connections that are little used. @return whether there is a place */
+    bool make_place();
 
     socket_poller& poller_;       ///< watches the sockets
     timer_queue& timers_;         ///< for timeouts
     caller_memory& memory_;       ///< bounds what the connections hold
+    metrics& counts_;             ///< see http_listener()
     std::size_t max_connections_; ///< limit of open connections
     listener_hooks hooks_;        ///< callbacks to the owner
     unique_fd listener_;          ///< the listening socket
@@ -97,7 +104,7 @@
     std::uint64_t next_key_ = 1;                                ///< key of the next connection
     std::uint64_t next_exchange_ = 1;                           ///< ID of the next request
     bool keep_alive_enabled_ = true;                            ///< see disable_keep_alive()
-    bool accepting_ = false;                                    ///< whether new connections are accepted
+    bool accepting_ = false;                                    ///< whether the listening socket is watched
 };
 
 } // namespace pollengrade
--- a/packages/net/listener_connection.cpp
+++ b/packages/net/listener_connection.cpp
@@ -59,6 +59,40 @@
     expect_request();
 }
 
+place_use http_listener::connection::use() const {
+    switch (stage_) {
+    case stage::reading:
+        if (parser_.stage() != parse_stage::not_started)
+            return place_use::receiving;
+        return has_asked_ ? place_use::idle : place_use::unused;
+    case stage::waiting:
+        return place_use::waiting;
+    case stage::writing:
+        return place_use::sending;
+    case stage::lingering:
+    case stage::closed:
+        break;
+    }
+    return place_use::ending;
+}
+
+void http_listener::connection::displace() {
+    if (is_idle()) {
+        close_if_idle();
+        return;
+    }
+    if (stage_ == stage::reading) {
+        // Not run, so the promise of this status is true. If it can't be sent at once, it is not sent.
+        const encoded_reply reply = encode_reply(reply_with(request_timeout_status), false, true);
+        ::send(fd_.get(), reply.head.data(), reply.head.size(), MSG_NOSIGNAL);
+        close();
+    } else if (stage_ == stage::writing) {
+        abort();
+    } else {
+        close();
+    }
+}
+
 void http_listener::connection::close_if_idle() {
     if (is_idle())
         read();
@@ -87,6 +121,7 @@
 
 void http_listener::connection::expect_request() {
     stage_ = stage::reading;
+    since_ = owner_.timers_.now();
     const caller_limits limits = owner_.hooks_.limits();
     parser_ = request_parser{limits.message};
     header_timeout_ = limits.header_timeout;
@@ -135,6 +170,8 @@
         dispatch_request();
         return;
     }
+    if (before == parse_stage::not_started)
+        since_ = owner_.timers_.now();
     if (parser_.stage() == parse_stage::header && before == parse_stage::not_started)
         set_timer(header_timeout_);
     if (parser_.stage() == parse_stage::body) {
@@ -153,6 +190,7 @@
         return;
     }
     cancel_timer();
+    has_asked_ = true;
     stage_ = stage::waiting;
     request_message message = parser_.take();
     message.round_trip = round_trip_of(fd_);
@@ -194,6 +232,7 @@
 
 void http_listener::connection::start_writing(encoded_reply reply, bool keep_alive) {
     stage_ = stage::writing;
+    since_ = owner_.timers_.now();
     keep_alive_ = keep_alive;
     output_ = std::move(reply);
     written_ = 0;
--- a/packages/net/listener_connection.h
+++ b/packages/net/listener_connection.h
@@ -9,6 +9,7 @@
 
 #include "net/http_listener.h"
 #include "net/message_writer.h"
+#include "net/place_func.h"
 #include "net/unique_fd.h"
 
 namespace pollengrade {
@@ -26,6 +27,12 @@
     [[nodiscard]] bool is_idle() const {
         return stage_ == stage::reading && parser_.stage() == parse_stage::not_started;
     }
+    /** @return what the connection is used for. */
+    [[nodiscard]] place_use use() const;
+    /** @return since when use() is what it is. */
+    [[nodiscard]] time_point unchanged_since() const noexcept { return since_; }
+    /** Closes the connection to make place for another; one that has just become busy is kept. */
+    void displace();
     /** Closes the connection unless a request has begun, also one that wasn't read so far. */
     void close_if_idle();
     /** Writes the reply to the request that has been passed to the owner. */
@@ -73,6 +80,8 @@
     stage stage_ = stage::reading;  ///< the current stage
     request_parser parser_{{0, 0}}; ///< for the request being read
     std::string pipelined_bytes_;   ///< bytes read after the end of the request
+    bool has_asked_ = false;        ///< whether a request has been read
+    time_point since_{};            ///< see unchanged_since()
     bool in_pipeline_ = false;      ///< whether process_pipelined() is running
     exchange_id exchange_;          ///< the request that waits for its reply
     bool keep_alive_ = true;        ///< whether the connection stays open after the reply
--- a/packages/net/socket_func.cpp
+++ b/packages/net/socket_func.cpp
@@ -11,6 +11,8 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <unistd.h>
@@ -156,6 +158,19 @@
     return code;
 }
 
+bool is_readable(const unique_fd& fd) {
+    pollfd it{fd.get(), POLLIN, 0};
+    return ::poll(&it, 1, 0) == 1;
+}
+
+std::size_t connections_within_descriptors(std::size_t wanted) {
+    constexpr std::size_t parts = 4; // One is left for servers, the store, peers and files.
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return wanted;
+    return std::min<std::size_t>(wanted, limit.rlim_cur / parts * (parts - 1));
+}
+
 bool would_block() {
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
 }
--- a/packages/net/socket_func.h
+++ b/packages/net/socket_func.h
@@ -60,6 +60,15 @@
 /** @return the pending error of a socket, 0 for none; reading it clears it. */
 [[nodiscard]] int socket_error(const unique_fd& fd);
 
+/** @return whether a socket can be read, or a connection accepted from it, at once. */
+[[nodiscard]] bool is_readable(const unique_fd& fd);
+
+/**
+ * @param wanted connections that a listener may have open
+ * @return as many, but no more than three quarters of the descriptors that the process may open
+ */
+[[nodiscard]] std::size_t connections_within_descriptors(std::size_t wanted);
+
 /** @return whether the call that just failed would have blocked or was interrupted. */
 [[nodiscard]] bool would_block();
 
--- a/packages/runtime/program_func.cpp
+++ b/packages/runtime/program_func.cpp
@@ -4,9 +4,18 @@
 #include <iostream>
 
 #include <cxxopts.hpp>
+#include <sys/resource.h>
 
 namespace pollengrade {
 
+void raise_descriptor_limit() {
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return;
+    limit.rlim_cur = limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &limit); // If it fails, the limit stays as it was.
+}
+
 int run_program(std::string_view name, const std::function<int()>& run) {
     try {
         return run();
--- a/packages/runtime/program_func.h
+++ b/packages/runtime/program_func.h
@@ -8,6 +8,9 @@
 
 inline constexpr int exit_usage = 2; ///< exit code for invalid flags or settings
 
+/** Raises the limit of open descriptors as far as the system allows without privileges. */
+void raise_descriptor_limit();
+
 /**
  * Runs a program. Invalid flags end it with an error message and exit_usage.
  * @param name the program's name, for the error message
--- a/tests/net/listener_stop_test.cpp
+++ b/tests/net/listener_stop_test.cpp
@@ -63,6 +63,7 @@
     http_listener listener{poller,
                            clock.timers(),
                            memory,
+                           counts,
                            16,
                            {[this](exchange_id id, const request_message&) {
                                 ++requests;
