Fix: the caller whose bytes would be held longest is given up first

Cause: the cost of a holding was its bytes times the time so far. Only four answers of 4 MB fit 16 MB, and a crowd that comes back has a new one every 6 ms (606 given up in 4 s), so all slow ones are young and the ordinary one, 16 ms old, was the oldest.

Change: the cost is the bytes times the time for which they will have been held at the speed so far: the age divided by the part that is done. A slow one of 2 ms has taken 16 KB of 4 MB and counts as half a second.

The new unit test fails with the cost as it was: the ordinary holding costs 40 KB x 12 ms, the slow one 40 KB x 2 ms.

--- a/packages/net/caller_memory.cpp
+++ b/packages/net/caller_memory.cpp
@@ -39,6 +39,12 @@
     return owner_.change(*this, kind, bytes);
 }
 
+void memory_holding::set_progress(std::size_t done, std::size_t total) {
+    // The first byte counts as done, so that nothing is divided by zero.
+    part_done_ =
+        total > 0 ? static_cast<double>(std::max<std::size_t>(done, 1)) / static_cast<double>(total) : 1;
+}
+
 void memory_holding::clear() {
     if (bytes_ > 0)
         owner_.remove(*this);
@@ -52,7 +58,10 @@
         remove(it);
         return false;
     }
-    add_cost(it);
+    if (it.bytes_ == 0) {
+        it.since_ = timers_.now();
+        it.part_done_ = 1;
+    }
     it.kind_ = kind;
     counted_ += bytes - it.bytes_; // Unsigned, and right also if the count falls.
     if (kind == holding_kind::run)
@@ -67,18 +76,12 @@
     if (it.kind_ == holding_kind::run)
         counted_for_runs_ -= it.bytes_;
     it.bytes_ = 0;
-    it.cost_ = 0;
     holdings_.erase(&it);
 }
 
 double caller_memory::cost_of(const memory_holding& it) const {
     const auto held = static_cast<double>((timers_.now() - it.since_).count());
-    return it.cost_ + static_cast<double>(it.bytes_) * held;
-}
-
-void caller_memory::add_cost(memory_holding& it) const {
-    it.cost_ = it.bytes_ > 0 ? cost_of(it) : 0;
-    it.since_ = timers_.now();
+    return static_cast<double>(it.bytes_) * held / it.part_done_;
 }
 
 memory_holding* caller_memory::most_costly() const {
--- a/packages/net/caller_memory.h
+++ b/packages/net/caller_memory.h
@@ -40,6 +40,9 @@
      * @return false if there is no room for it; the bytes are not counted then, and must be released
      */
     [[nodiscard]] bool set(holding_kind kind, std::size_t bytes);
+    /** States how much of the request has been received, or of the reply has been sent: @p done of @p total.
+     */
+    void set_progress(std::size_t done, std::size_t total);
     /** The connection holds nothing more. */
     void clear();
 
@@ -50,17 +53,18 @@
     std::function<void()> give_up_;             ///< see memory_holding()
     holding_kind kind_ = holding_kind::request; ///< see set()
     std::size_t bytes_ = 0;                     ///< see set(); 0 if it isn't counted
-    time_point since_{};                        ///< last change of the bytes
-    double cost_ = 0;                           ///< bytes times microseconds, up to the last change
+    time_point since_{};                        ///< when it began to hold bytes of this kind
+    double part_done_ = 1;                      ///< see set_progress(); above 0
 };
 
 /**
  * Counts what all connections hold and keeps the sum within a limit.
  *
- * When the sum exceeds the limit, the holding that has cost most so far is given up: the bytes times the time
- * for which they were held. An ordinary caller reads or sends at the speed of its link and costs little, so
- * those that are slow go first. Requests that may be at a server are never given up; a long one is not passed
- * on while those take half of the limit.
+ * When the sum exceeds the limit, the holding that costs most is given up: its bytes times the time for which
+ * they will have been held once all is received or sent, at the speed so far. An ordinary caller reads or
+ * sends at the speed of its link and costs little, so those that are slow go first, also if they have just
+ * come. Requests that may be at a server are never given up; a long one is not passed on while those take
+ * half of the limit.
  */
 class caller_memory {
 public:
@@ -80,7 +84,6 @@
 
     [[nodiscard]] bool change(memory_holding& it, holding_kind kind, std::size_t bytes);
     void remove(memory_holding& it);
-    void add_cost(memory_holding& it) const;
     [[nodiscard]] double cost_of(const memory_holding& it) const;
     /** @return the holding to be given up first; null if none may be. */
     [[nodiscard]] memory_holding* most_costly() const;
--- a/packages/net/listener_connection.cpp
+++ b/packages/net/listener_connection.cpp
@@ -181,6 +181,8 @@
     }
     if (!memory_.set(holding_kind::request, parser_.allocated_bytes()))
         refuse_for_room();
+    else
+        memory_.set_progress(parser_.held_bytes(), parser_.stated_body_bytes().value_or(0));
 }
 
 void http_listener::connection::dispatch_request() {
@@ -244,6 +246,8 @@
     const std::size_t held = output_.head.capacity() + output_.body.capacity() + pipelined_bytes_.capacity();
     if (!memory_.set(holding_kind::reply, held))
         abort();
+    else
+        memory_.set_progress(written_, output_.head.size() + output_.body.size());
 }
 
 void http_listener::connection::write() {
@@ -257,6 +261,7 @@
             return;
         }
         written_ += static_cast<std::size_t>(n);
+        memory_.set_progress(written_, total);
     }
     output_ = {};
     memory_.clear();
--- a/tests/net/caller_memory_test.cpp
+++ b/tests/net/caller_memory_test.cpp
@@ -45,6 +45,21 @@
     CHECK(it.counts.value("callers_given_up", "reply") == 1);
 }
 
+TEST_CASE("a reply that is hardly read is given up before one that is read fast, though it came later") {
+    fixture it;
+    const auto ordinary = it.connection("ordinary");
+    const auto slow = it.connection("slow");
+    const auto next = it.connection("next");
+    CHECK(ordinary->set(holding_kind::reply, 40'000));
+    it.pass(10);
+    ordinary->set_progress(20'000, 40'000);
+    CHECK(slow->set(holding_kind::reply, 40'000));
+    it.pass(2);
+    slow->set_progress(400, 40'000);
+    CHECK(next->set(holding_kind::reply, 40'000));
+    CHECK(it.given_up == std::vector<std::string>{"slow"});
+}
+
 TEST_CASE("a request that comes slowly is given up for one that has just begun") {
     fixture it;
     const auto slow = it.connection("slow");
