--- a/packages/core/config/node_settings.cpp
+++ b/packages/core/config/node_settings.cpp
@@ -31,8 +31,8 @@
     {"node", "cpu_speed", setting_type::decimal, 0, 1024, "1", false, "", "",
      "Speed of such a core, relative to those of other nodes."},
     {"node", "memory_mb", setting_type::decimal, 32, 1048576, "256", false, "", "MB",
-     "Memory that the process may use; replies under way take a quarter of it at most, and so does what is "
-     "held for callers."},
+     "Memory that the process may use, or that of the machine if it is less; replies under way take a "
+     "quarter of it at most, and so does what is held for callers."},
     {"node", "grace_s", setting_type::decimal, 1, 600, "10", false, "", "s",
      "Longest time from the stop signal to the end of the process."},
     {"node", "caller_round_trip_ms", setting_type::decimal, 0, 1000, "5", false, "", "ms",
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,4 +1,5 @@
 /** @file main.cpp Command line and main loop of the daemon. */
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -141,6 +142,7 @@
         std::cerr << path << ": [node] debug: unknown subsystem\n";
         return exit_usage;
     }
+    settings->memory = std::min(settings->memory, machine_memory());
     return program{path, std::move(*text), std::move(*settings)}.run();
 }
 
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -180,9 +180,10 @@
 }
 
 tl::expected<void, listen_error> node::start() {
-    log_.record(
-        event_kind::node_started, {}, settings_.name,
-        {{event_key::address, settings_.callers.value()}, {event_key::domain, settings_.domain.value()}});
+    log_.record(event_kind::node_started, {}, settings_.name,
+                {{event_key::address, settings_.callers.value()},
+                 {event_key::domain, settings_.domain.value()},
+                 {event_key::limit_bytes, settings_.memory}});
     if (const auto started = operators_.listen(settings_.operators); !started)
         return started;
     if (const auto started = frontend_->listen(); !started)
--- a/packages/runtime/program_func.cpp
+++ b/packages/runtime/program_func.cpp
@@ -2,12 +2,21 @@
 #include "runtime/program_func.h"
 
 #include <iostream>
+#include <limits>
 
 #include <cxxopts.hpp>
 #include <sys/resource.h>
+#include <sys/sysinfo.h>
 
 namespace pollengrade {
 
+std::size_t machine_memory() {
+    struct sysinfo it {};
+    if (::sysinfo(&it) != 0)
+        return std::numeric_limits<std::size_t>::max();
+    return std::size_t{it.totalram} * it.mem_unit;
+}
+
 void raise_descriptor_limit() {
     rlimit limit{};
     if (::getrlimit(RLIMIT_NOFILE, &limit) != 0)
--- a/packages/runtime/program_func.h
+++ b/packages/runtime/program_func.h
@@ -1,6 +1,7 @@
 /** @file program_func.h Code shared by the main functions of all programs. */
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <string_view>
 
@@ -8,6 +9,9 @@
 
 inline constexpr int exit_usage = 2; ///< exit code for invalid flags or settings
 
+/** @return the memory of the machine, in bytes, as the system reports it. */
+[[nodiscard]] std::size_t machine_memory();
+
 /** Raises the limit of open descriptors as far as the system allows without privileges. */
 void raise_descriptor_limit();
 
