--- a/tests/crowd/fleet.cpp
+++ b/tests/crowd/fleet.cpp
@@ -136,8 +136,10 @@
     path_ = (std::filesystem::temp_directory_path() / ("pollengrade-crowd-" + std::to_string(::getpid())))
                 .string();
     store_.emplace(std::vector<std::string>{STANDIN_PLATFORM, "--listen", config_.store_address()});
-    REQUIRE(
-        wait_for([this] { return call(config_.store_address(), "GET", "/api/objects/none").has_value(); }));
+    REQUIRE(wait_for([this] {
+        return call(config_.store_address(), "GET", std::string{wire_names::objects_path} + "none")
+            .has_value();
+    }));
     if (options.has_routes)
         write_routes();
     upstreams_.emplace(std::vector<std::string>{STANDIN_UPSTREAMS,
