Add: the soak plays crowds of clients that misbehave and looks at the nodes' memory

Change: on odd seeds one to four crowds, drawn apart so that all other faults of a seed stay as they were; the check "memory" (64 MB, as the settings of the soak's nodes now say) on every seed. The crowd of the tests moved to soak/ and serves both; the tests' crowds are unchanged.

That a node reads a flood before an ordinary caller's request stays open.

--- a/tests/crowd/crowd.cpp
+++ b/soak/crowd.cpp
@@ -1,12 +1,11 @@
 /** @file crowd.cpp Clients on non-blocking sockets, served in turns. */
-#include "crowd/crowd.h"
+#include "crowd.h"
 
 #include <array>
 #include <utility>
 
 #include <poll.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "net/socket_func.h"
 
@@ -14,15 +13,23 @@
 
 namespace {
 
-constexpr useconds_t turn_us = 50'000;
 constexpr int receive_buffer_bytes = 4096; ///< small, so that the bytes that are not read stay at the server
 
 } // namespace
 
 crowd::crowd(std::string address, std::size_t size, crowd_behaviour behaviour)
     : address_{std::move(address)}, behaviour_{std::move(behaviour)}, clients_(size) {
-    for (client& it : clients_)
-        open(it);
+    open_closed();
+}
+
+void crowd::open_closed() {
+    std::size_t left = behaviour_.opened_per_turn;
+    for (client& it : clients_) {
+        if (left > 0 && !it.fd.is_valid()) {
+            open(it);
+            --left;
+        }
+    }
 }
 
 void crowd::open(client& it) {
@@ -33,15 +40,12 @@
     ++opened_;
 }
 
-void crowd::play(std::size_t turns, const std::function<void()>& each) {
-    for (std::size_t n = 0; n < turns; ++n) {
-        for (client& it : clients_) {
-            if (!take_turn(it))
-                open(it);
-        }
-        each();
-        ::usleep(turn_us);
+void crowd::take_turns() {
+    for (client& it : clients_) {
+        if (it.fd.is_valid() && !take_turn(it))
+            it.fd = unique_fd{};
     }
+    open_closed();
 }
 
 bool crowd::take_turn(client& it) const {
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -1,14 +1,17 @@
 /** @file fault_injector.cpp Injection of faults by signals, link modes and control calls. */
 #include "fault_injector.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iostream>
 #include <utility>
 
 #include "broken_reply.h"
+#include "crowd.h"
 #include "net/message_writer.h"
 #include "process_func.h"
+#include "routes_text.h"
 
 namespace pollengrade {
 
@@ -25,6 +28,7 @@
     std::chrono::milliseconds{100}; ///< before a failed control call is retried
 constexpr duration handler_poll_interval =
     std::chrono::milliseconds{10}; ///< between checks whether a process has installed its signal handler
+constexpr duration memory_check_period = std::chrono::milliseconds{200};
 constexpr duration exit_slack =
     std::chrono::seconds{1}; ///< after the grace period, before a stop counts as overdue
 
@@ -68,6 +72,12 @@
         timers_.schedule_after(it.at, [this, it] { inject(it); });
 }
 
+void fault_injector::watch_memory() {
+    for (std::uint32_t n = 0; n < config_.nodes; ++n)
+        highest_memory_ = std::max(highest_memory_, peak_memory(pid_of(node_process(n))));
+    timers_.schedule_after(memory_check_period, [this] { watch_memory(); });
+}
+
 void fault_injector::kill_all() {
     std::cout << "killing all nodes\n";
     for (std::uint32_t n = 0; n < config_.nodes; ++n)
@@ -149,8 +159,10 @@
 void fault_injector::inject(const planned_fault& it) {
     std::cout << to_string(it.kind) << " target " << it.target << " service " << it.service << " for "
               << to_milliseconds(it.length) << " ms\n";
-    if (it.kind <= fault_kind::all_nodes_killed || it.kind == fault_kind::callers_delayed ||
-        it.kind == fault_kind::callers_reset) {
+    if (it.kind == fault_kind::callers_crowding) {
+        start_crowd(it);
+    } else if (it.kind <= fault_kind::all_nodes_killed || it.kind == fault_kind::callers_delayed ||
+               it.kind == fault_kind::callers_reset) {
         inject_node_fault(it);
     } else if (it.kind <= fault_kind::servers_cut) {
         server_disturbances_.push_back(
@@ -161,6 +173,46 @@
     }
 }
 
+void fault_injector::start_crowd(const planned_fault& it) {
+    // None of these requests is ever passed on to a server.
+    constexpr std::size_t clients = 250;
+    const std::string head =
+        std::string{" HTTP/1.1\r\nHost: "} + routes_host + "\r\n" + wire_names::request_id + ": crowd\r\n";
+    crowd_behaviour behaviour;
+    behaviour.opened_per_turn = 10; // Long bodies then take 50 MB a second, more than the link of a VM.
+    switch (it.service) {
+    case 0: { // Sends the end of a long body a byte at a time.
+        const std::string post = "POST " + path_of(route_kind::order, 1) + "crowd" + head +
+                                 "Content-Length: 262144\r\n\r\n" + std::string(262144, 'b');
+        behaviour.bytes = [post](std::size_t) { return post; };
+        behaviour.trickled = 1000;
+        break;
+    }
+    case 1: // Sends a head a byte at a time.
+        behaviour.bytes = [head](std::size_t) { return "GET /none/" + head + "\r\n"; };
+        behaviour.trickled = head.size();
+        break;
+    case 2: // Sends many requests at once and reads nothing.
+        behaviour.bytes = [head](std::size_t) {
+            std::string many;
+            for (int n = 0; n < 500; ++n)
+                many += "GET /none/" + head + "\r\n";
+            return many;
+        };
+        break;
+    default: // Sends nothing.
+        break;
+    }
+    play_crowd(std::make_shared<crowd>(config_.node_address(it.target), clients, std::move(behaviour)),
+               timers_.now() + it.length);
+}
+
+void fault_injector::play_crowd(const std::shared_ptr<crowd>& it, time_point end) {
+    it->take_turns();
+    if (timers_.now() < end)
+        timers_.schedule_after(crowd_turn, [this, it, end] { play_crowd(it, end); });
+}
+
 void fault_injector::inject_node_fault(const planned_fault& it) {
     const std::string process = node_process(it.target);
     switch (it.kind) {
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -17,6 +17,8 @@
 namespace pollengrade {
 
 /** Owns the proxied links of a run and injects faults into them and into the processes that they connect. */
+class crowd;
+
 class fault_injector {
 public:
     fault_injector(socket_poller& poller, timer_queue& timers, const soak_config& config,
@@ -37,6 +39,10 @@
     }
     /** @return how many nodes were still running after the grace period of a graceful stop. */
     [[nodiscard]] std::uint32_t overdue_stops() const noexcept { return overdue_stops_; }
+    /** Looks at the memory of all nodes, from now on. */
+    void watch_memory();
+    /** @return the highest memory that any node was seen to have, in bytes. */
+    [[nodiscard]] std::size_t highest_memory() const noexcept { return highest_memory_; }
 
 private:
     void inject(const planned_fault& it);
@@ -44,6 +50,8 @@
     void inject_servers_fault(const planned_fault& it);
     void inject_store_fault(const planned_fault& it);
     void pause(const std::string& process, duration length);
+    void start_crowd(const planned_fault& it);
+    void play_crowd(const std::shared_ptr<crowd>& it, time_point end);
     void kill_node(std::uint32_t node);
     void stop_node(std::uint32_t node);
     void reload_node(std::uint32_t node);
@@ -66,6 +74,7 @@
     std::vector<disturbance> server_disturbances_;          ///< see server_disturbances()
     std::vector<std::unique_ptr<client_connection>> calls_; ///< control calls to the stand-ins
     std::uint32_t overdue_stops_ = 0;                       ///< see overdue_stops()
+    std::size_t highest_memory_ = 0;                        ///< see highest_memory()
 };
 
 } // namespace pollengrade
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -43,7 +43,8 @@
                                                           "store_loses_replies",
                                                           "store_loses_calls",
                                                           "store_forgets",
-                                                          "version_written"};
+                                                          "version_written",
+                                                          "callers_crowding"};
 
 /** What operators and the platform do on a calm day; only then is it certain what a stop may cut off. */
 constexpr std::array planned_kinds{fault_kind::node_stopped, fault_kind::nodes_stopped,
@@ -53,6 +54,9 @@
 constexpr std::array departure_kinds{fault_kind::servers_drained, fault_kind::servers_leaving,
                                      fault_kind::servers_leaving, fault_kind::servers_removed};
 
+/** The kinds that draw_kind() chooses from. */
+constexpr std::size_t drawn_kinds = static_cast<std::size_t>(fault_kind::version_written) + 1;
+constexpr std::uint64_t max_crowds = 4;
 constexpr std::uint64_t mean_gap_ms = 700; ///< between the starts of faults, or of series of faults
 constexpr std::uint64_t min_length_ms = 100;
 constexpr std::uint64_t max_length_ms = 3000;
@@ -73,7 +77,7 @@
         return departure_kinds.at(random() % departure_kinds.size());
     if (random() % versions_one_in == 0)
         return fault_kind::version_written;
-    return static_cast<fault_kind>(random() % fault_kinds);
+    return static_cast<fault_kind>(random() % drawn_kinds);
 }
 
 } // namespace
@@ -117,4 +121,24 @@
     return plan;
 }
 
+void add_crowds(std::vector<planned_fault>& plan, const std::function<std::uint64_t()>& random,
+                const soak_config& config) {
+    if (!config.has_crowds())
+        return;
+    const std::uint64_t count = 1 + random() % max_crowds;
+    const auto longest = static_cast<std::uint64_t>(to_milliseconds(config.fault_duration));
+    for (std::uint64_t n = 0; n < count; ++n) {
+        planned_fault it;
+        it.kind = fault_kind::callers_crowding;
+        it.at = std::chrono::milliseconds{random() % longest};
+        it.length = std::min<duration>(std::chrono::milliseconds{1000 + random() % 5000},
+                                       config.fault_duration - it.at);
+        it.target = static_cast<std::uint32_t>(random() % config.nodes);
+        it.service = static_cast<std::uint32_t>(random() % crowd_kinds);
+        plan.push_back(it);
+    }
+    std::stable_sort(plan.begin(), plan.end(),
+                     [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+}
+
 } // namespace pollengrade
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -49,9 +49,10 @@
     store_loses_calls,   ///< the store closes connections when it receives calls
     store_forgets,       ///< the store loses its change history
     version_written,     ///< the operator writes the next version
+    callers_crowding,    ///< a crowd of clients that misbehave connects to a node; drawn by add_crowds()
 };
 
-inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(fault_kind::version_written) + 1;
+inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(fault_kind::callers_crowding) + 1;
 
 /** @return the name that is printed in logs. */
 [[nodiscard]] std::string_view to_string(fault_kind it);
@@ -74,4 +75,8 @@
 [[nodiscard]] std::vector<planned_fault> generate_faults(const std::function<std::uint64_t()>& random,
                                                          const soak_config& config);
 
+/** Adds crowds to a plan whose seed plays them; the other faults stay as they are. */
+void add_crowds(std::vector<planned_fault>& plan, const std::function<std::uint64_t()>& random,
+                const soak_config& config);
+
 } // namespace pollengrade
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -23,6 +23,7 @@
     std::chrono::seconds{3}; ///< load without faults, before the fault schedule is started
 constexpr duration recovery_check_time = std::chrono::seconds{
     4}; ///< length of the check after the recovery time, and of the wait for the last replies
+constexpr std::size_t bytes_per_megabyte = 1'000'000;
 constexpr duration lag_period =
     std::chrono::milliseconds{50}; ///< between measurements of this program's own timer lag
 constexpr duration max_lag =
@@ -49,6 +50,7 @@
             return false;
         operator_.write({0, 1, 2, 3, 4, 5});
         ready_.start();
+        injector_.watch_memory();
         watch_lag(timers_.now());
         wait_for_nodes();
         g_main_loop_run(loop_.get());
@@ -70,6 +72,7 @@
             wall_now().time_since_epoch().count() - to_milliseconds(monotonic_now().time_since_epoch());
         it.node_exit_codes = read_exit_codes(config_.directory, config_.nodes);
         it.overdue_stops = injector_.overdue_stops();
+        it.highest_memory = injector_.highest_memory();
         it.last_fault = last_fault_;
         return it;
     }
@@ -93,7 +96,8 @@
     }
 
     void begin_faults() {
-        const std::vector<planned_fault> plan = generate_faults(random_, config_);
+        std::vector<planned_fault> plan = generate_faults(random_, config_);
+        add_crowds(plan, seeded_random(config_.seed + 2), config_);
         injector_.schedule(plan);
         timers_.schedule_after(config_.fault_duration, [this] {
             if (ends_with_kill_)
@@ -163,7 +167,8 @@
     for (const request_record& it : results.records)
         served += it.outcome == soak_outcome::replied && it.status == 200 ? 1 : 0; // NOLINT(*-magic-numbers)
     std::cout << results.records.size() << " requests, " << served << " served, " << results.runs.size()
-              << " runs at servers, " << results.versions.size() << " versions\n";
+              << " runs at servers, " << results.versions.size() << " versions, "
+              << results.highest_memory / bytes_per_megabyte << " MB in a node at most\n";
     const auto violations = check_results(results);
     for (const violation& it : violations)
         std::cout << "BROKEN " << it.check << ": " << it.details << "\n";
--- a/soak/process_func.cpp
+++ b/soak/process_func.cpp
@@ -28,6 +28,16 @@
     return is_in_mask(pid, "SigCgt:", signal_number);
 }
 
+std::size_t peak_memory(int pid) {
+    constexpr std::size_t bytes_per_kib = 1024;
+    std::ifstream status{"/proc/" + std::to_string(pid) + "/status"};
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmHWM:"))
+            return std::stoul(line.substr(line.find_first_of("0123456789"))) * bytes_per_kib;
+    }
+    return 0;
+}
+
 bool ignores(int pid, int signal_number) {
     return is_in_mask(pid, "SigIgn:", signal_number);
 }
--- a/soak/process_func.h
+++ b/soak/process_func.h
@@ -1,6 +1,8 @@
 /** @file process_func.h Queries the kernel about a process. */
 #pragma once
 
+#include <cstddef>
+
 namespace pollengrade {
 
 /**
@@ -8,6 +10,8 @@
  * has installed its handlers, a signal such as SIGTERM terminates it immediately.
  */
 [[nodiscard]] bool has_handler(int pid, int signal_number);
+/** @return the highest resident memory of a process so far, in bytes; 0 if it is not running. */
+[[nodiscard]] std::size_t peak_memory(int pid);
 /** @return whether a process ignores a signal. */
 [[nodiscard]] bool ignores(int pid, int signal_number);
 
--- a/soak/result_checks.cpp
+++ b/soak/result_checks.cpp
@@ -291,6 +291,8 @@
         if (code != 0 && code != signal_offset + SIGKILL)
             out.push_back({"no end of its own", "a node exited with code " + std::to_string(code)});
     }
+    if (all.highest_memory > node_memory)
+        out.push_back({"memory", "a node took " + std::to_string(all.highest_memory) + " bytes"});
     if (all.overdue_stops > 0)
         out.push_back({"stop in time", std::to_string(all.overdue_stops) +
                                            " nodes were still running after the grace period"});
--- a/soak/result_checks.h
+++ b/soak/result_checks.h
@@ -55,6 +55,7 @@
     std::int64_t unix_ms_at_zero = 0;                 ///< Unix milliseconds at the zero of the records' clock
     std::vector<int> node_exit_codes;                 ///< exit codes of node processes that ended
     std::uint32_t overdue_stops = 0; ///< nodes still running after the grace period of a stop
+    std::size_t highest_memory = 0;  ///< highest resident memory of any node, in bytes
     time_point last_fault{};         ///< when the last fault ended
 };
 
--- a/soak/soak_type.h
+++ b/soak/soak_type.h
@@ -36,6 +36,11 @@
         constexpr std::uint64_t departures_one_in = 4;
         return seed % departures_one_in == 1;
     }
+    /** @return whether crowds of clients that misbehave are played. */
+    [[nodiscard]] bool has_crowds() const {
+        constexpr std::uint64_t crowds_one_in = 2;
+        return seed % crowds_one_in == 1;
+    }
     [[nodiscard]] std::string host(std::uint32_t third, std::uint32_t last) const {
         return "127." + std::to_string(net) + "." + std::to_string(third) + "." + std::to_string(last);
     }
@@ -63,8 +68,10 @@
     }
 };
 
-inline constexpr std::uint32_t service_count = 8;     ///< services in a run
-inline constexpr const char* service_family = "desk"; ///< prefix of the service names
+inline constexpr std::uint32_t service_count = 8;      ///< services in a run
+inline constexpr std::uint32_t crowd_kinds = 4;        ///< ways in which clients of a crowd misbehave
+inline constexpr std::size_t node_memory = 64'000'000; ///< bytes that tools/soak allows a node
+inline constexpr const char* service_family = "desk";  ///< prefix of the service names
 
 /** @return the name of a service. */
 [[nodiscard]] inline std::string service_text(std::uint32_t service) {
--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -4,10 +4,12 @@
 #include <doctest/doctest.h>
 
 #include <csignal>
+#include <initializer_list>
 #include <string>
+#include <thread>
 #include <vector>
 
-#include "crowd/crowd.h"
+#include "crowd.h"
 #include "crowd/fleet.h"
 #include "crowd/http_call.h"
 #include "routes_text.h"
@@ -32,6 +34,16 @@
            "\r\n\r\n" + std::string(max_body_bytes, 'b');
 }
 
+/** Plays turns of some crowds, and samples the fleet's memory after each. */
+void play(fleet& all, std::initializer_list<crowd*> crowds, std::size_t count = turns) {
+    for (std::size_t n = 0; n < count; ++n) {
+        for (crowd* it : crowds)
+            it->take_turns();
+        all.sample();
+        std::this_thread::sleep_for(crowd_turn);
+    }
+}
+
 void check_limits(fleet& all, const fleet_options& options) {
     const memory_use used = all.memory();
     INFO("process ", used.process, " bytes, kernel ", used.kernel, " bytes");
@@ -47,7 +59,7 @@
     for (const std::string& it : changes)
         all.change_servers(it);
     crowd clients{all.callers(), size, std::move(behaviour)};
-    clients.play(turns, [&all] { all.sample(); });
+    play(all, {&clients});
     CHECK(all.ask() == ok);
     check_limits(all, options);
 }
@@ -129,7 +141,7 @@
         CHECK(all.ask() == ok);
     const auto page = [](std::size_t) { return std::string{"GET /timeline HTTP/1.1\r\nHost: a\r\n\r\n"}; };
     crowd clients{all.operators(), 60, {page, 0, 0}};
-    clients.play(turns, [&all] { all.sample(); });
+    play(all, {&clients});
     CHECK(all.ask() == ok);
     check_limits(all, options);
 }
@@ -140,7 +152,7 @@
     options.descriptors = 400;
     fleet all{options};
     crowd clients{all.callers(), 500, {}};
-    clients.play(turns, [&all] { all.sample(); });
+    play(all, {&clients});
     CHECK(call(all.callers(), "GET", "/healthz") == ok);
     check_limits(all, options);
 }
@@ -152,15 +164,10 @@
     crowd readers{all.callers(), 20, {[](std::size_t n) { return get(route_kind::lookup, n); }, 0, 512}};
     crowd senders{all.callers(), 20, {[](std::size_t n) { return post(n); }, 1000, 65536}};
     crowd silent{all.callers(), 20, {}};
-    const auto play_all = [&](std::size_t count) {
-        readers.play(count, [&] {
-            senders.play(1, [] {});
-            silent.play(1, [] {});
-        });
-    };
-    play_all(10);
+    constexpr std::size_t few_turns = 10;
+    play(all, {&readers, &senders, &silent}, few_turns);
     ::kill(all.node().id(), SIGTERM);
-    play_all(10);
+    play(all, {&readers, &senders, &silent}, few_turns);
     CHECK(all.node().wait(options.grace_s) == 0);
 }
 
--- a/tests/crowd/fleet.cpp
+++ b/tests/crowd/fleet.cpp
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include "crowd/http_call.h"
+#include "process_func.h"
 #include "routes_text.h"
 
 namespace pollengrade {
@@ -208,15 +209,7 @@
 }
 
 memory_use fleet::memory() const {
-    constexpr std::size_t bytes_per_kib = 1024;
-    memory_use it;
-    it.kernel = kernel_peak_;
-    std::ifstream in{"/proc/" + std::to_string(node_->id()) + "/status"};
-    for (std::string line; std::getline(in, line);) {
-        if (line.starts_with("VmHWM:"))
-            it.process = std::stoul(line.substr(line.find_first_of("0123456789"))) * bytes_per_kib;
-    }
-    return it;
+    return {peak_memory(node_->id()), kernel_peak_};
 }
 
 std::size_t fleet::descriptors() const {
--- a/tests/soak/result_checks_test.cpp
+++ b/tests/soak/result_checks_test.cpp
@@ -27,6 +27,7 @@
     runs_by_request runs;
     std::vector<int> exit_codes{0, 128 + SIGKILL};
     std::uint32_t overdue_stops = 0;
+    std::size_t highest_memory = 0;
     departure_records departures;
     std::uint32_t net = 20;
 
@@ -103,6 +104,7 @@
         all.runs = runs;
         all.node_exit_codes = exit_codes;
         all.overdue_stops = overdue_stops;
+        all.highest_memory = highest_memory;
         all.departures = departures;
         all.net = net;
         all.last_fault = at(0) - max_recovery_time;
@@ -240,6 +242,14 @@
     CHECK(it.failed_checks() == names{"nothing lost by a stop"});
 }
 
+TEST_CASE("a node that took more memory than it may is reported") {
+    passing_run full;
+    full.highest_memory = node_memory;
+    CHECK(full.failed_checks().empty());
+    ++full.highest_memory;
+    CHECK(full.failed_checks() == names{"memory"});
+}
+
 TEST_CASE("a process that crashed or did not stop in time is reported") {
     passing_run crashed;
     crashed.exit_codes.push_back(128 + SIGSEGV);
