Fix: a kept connection on which a request has just arrived keeps its place

Cause: the connection was closed if it was idle after the read, which it is again once a request has been answered at once; and the number of places freed in one search was the same for 16 places as for 3,000.

Change: a connection from which bytes were read is kept; one place in 128 is freed in one search, one at least.

--- a/packages/net/http_listener.cpp
+++ b/packages/net/http_listener.cpp
@@ -1,6 +1,7 @@
 /** @file http_listener.cpp Accepts callers' connections and passes their replies on. */
 #include "net/http_listener.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 #include <vector>
@@ -13,8 +14,10 @@
 
 namespace {
 
-constexpr std::size_t freed_at_once = 16; ///< places, so that a crowd does not cost a search for each of them
-constexpr int max_accepts_per_turn = 32;  ///< further connections wait for the next loop iteration
+/** One place in so many is freed at once, so that a crowd does not cost a search for each of its connections.
+ */
+constexpr std::size_t freed_part = 128;
+constexpr int max_accepts_per_turn = 32; ///< further connections wait for the next loop iteration
 /** Of each connection and direction. What a caller neither reads nor lets this node read stays in the kernel.
  */
 constexpr int kernel_buffer_bytes = 16 * 1024;
@@ -69,7 +72,8 @@
     places.reserve(connections_.size());
     for (const auto& [key, it] : connections_)
         places.push_back({key, it->use(), it->unchanged_since()});
-    for (const connection_key key : places_to_free(std::move(places), timers_.now(), freed_at_once)) {
+    const std::size_t count = std::max<std::size_t>(1, max_connections_ / freed_part);
+    for (const connection_key key : places_to_free(std::move(places), timers_.now(), count)) {
         const auto it = connections_.find(key);
         if (it == connections_.end())
             continue; // Given up meanwhile, for its memory.
--- a/packages/net/listener_connection.cpp
+++ b/packages/net/listener_connection.cpp
@@ -77,11 +77,11 @@
 }
 
 void http_listener::connection::displace() {
-    if (is_idle()) {
-        close_if_idle();
+    if (is_idle() && read())
         return;
-    }
-    if (stage_ == stage::reading) {
+    if (is_idle()) {
+        close();
+    } else if (stage_ == stage::reading) {
         // Not run, so the promise of this status is true. If it can't be sent at once, it is not sent.
         const encoded_reply reply = encode_reply(reply_with(request_timeout_status), false, true);
         ::send(fd_.get(), reply.head.data(), reply.head.size(), MSG_NOSIGNAL);
@@ -145,16 +145,17 @@
         on_disconnected();
 }
 
-void http_listener::connection::read() {
+bool http_listener::connection::read() {
     auto& buf = read_buffer();
     const ssize_t n = ::recv(fd_.get(), buf.data(), buf.size(), 0);
     if (n < 0 && would_block())
-        return;
+        return false;
     if (n <= 0) {
         on_disconnected();
-        return;
+        return false;
     }
     process_bytes({buf.data(), static_cast<std::size_t>(n)});
+    return true;
 }
 
 void http_listener::connection::process_bytes(std::string_view bytes) {
--- a/packages/net/listener_connection.h
+++ b/packages/net/listener_connection.h
@@ -51,7 +51,8 @@
 
     void expect_request();
     void on_events(socket_events events);
-    void read();
+    /** @return whether any bytes were read. */
+    bool read();
     void process_bytes(std::string_view bytes);
     void dispatch_request();
     /** Refuses the request that is being read, and closes the connection after the reply. */
