--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -66,7 +66,7 @@
       poller_{clock_}, platform_{poller_, clock_.timers(), log_, counts_, settings_.platform},
       replies_{reply_memory_limit(settings_.memory), clock_.timers(), log_, counts_,
                upstream_network::replies_hooks_of(network_)},
-      callers_{caller_memory_limit(settings_.memory), clock_.timers(), counts_},
+      caller_memory_{caller_memory_limit(settings_.memory), clock_.timers(), counts_},
       servers_{
           clock_.timers(), log_, counts_, random_, settings_.domain, upstream_network::hooks_of(network_)},
       registry_{clock_.timers(), log_, counts_,
@@ -97,7 +97,7 @@
       operators_{
           poller_,
           clock_.timers(),
-          callers_,
+          caller_memory_,
           counts_,
           {{"/metrics", {std::string{metrics_type}, [this] { return counts_.render(); }}},
            {"/status", {"application/json", [this] { return status() + "\n"; }}},
@@ -119,9 +119,9 @@
     const run_context context{clock_.timers(), servers_, log_, counts_};
     if (settings_.interface == interface_kind::routes)
         return std::make_unique<route_frontend>(
-            settings_, poller_, callers_, context, random_, make_delegation_hooks(),
+            settings_, poller_, caller_memory_, context, random_, make_delegation_hooks(),
             [this] { cluster_.configuration().pull_from_peers(); }, [this] { update_store_watchers(); });
-    return std::make_unique<document_frontend>(settings_, poller_, callers_,
+    return std::make_unique<document_frontend>(settings_, poller_, caller_memory_,
                                                router_parts{servers_, clock_.timers(), log_, counts_, random_,
                                                             wall_now, platform_.claim_hooks(),
                                                             holder_count{1}});
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -76,7 +76,7 @@
     socket_poller poller_;                                  ///< socket poller of the main loop
     platform_client platform_;                              ///< client of the platform's store
     reply_memory replies_;                                  ///< bounds the bytes of servers' replies
-    caller_memory callers_;                                 ///< bounds the bytes held for callers
+    caller_memory caller_memory_;                           ///< bounds the bytes held for callers
     std::unique_ptr<upstream_network> network_;             ///< connections to servers
     dispatcher servers_;                                    ///< the upstreams, and attempts sent to them
     registry registry_;                                     ///< registry of the servers' entries
--- a/packages/net/listener_connection.cpp
+++ b/packages/net/listener_connection.cpp
@@ -79,18 +79,14 @@
 void http_listener::connection::displace() {
     if (is_idle() && read())
         return;
-    if (is_idle()) {
-        close();
-    } else if (stage_ == stage::reading) {
+    if (use() == place_use::receiving) {
         // Not run, so the promise of this status is true. If it can't be sent at once, it is not sent.
         const encoded_reply reply = encode_reply(reply_with(request_timeout_status), false, true);
         ::send(fd_.get(), reply.head.data(), reply.head.size(), MSG_NOSIGNAL);
-        close();
-    } else if (stage_ == stage::writing) {
-        abort();
-    } else {
-        close();
     }
+    if (stage_ == stage::writing)
+        reset_on_close(fd_);
+    close();
 }
 
 void http_listener::connection::close_if_idle() {
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -182,9 +182,9 @@
     behaviour.opened_per_turn = 10; // Long bodies then take 50 MB a second, more than the link of a VM.
     switch (it.service) {
     case 0: { // Sends the end of a long body a byte at a time.
-        const std::string post = "POST " + path_of(route_kind::order, 1) + "crowd" + head +
-                                 "Content-Length: 262144\r\n\r\n" + std::string(262144, 'b');
-        behaviour.bytes = [post](std::size_t) { return post; };
+        std::string post = "POST " + path_of(route_kind::order, 1) + "crowd" + head +
+                           "Content-Length: 262144\r\n\r\n" + std::string(262144, 'b');
+        behaviour.bytes = [post = std::move(post)](std::size_t) { return std::string{post}; };
         behaviour.trickled = 1000;
         break;
     }
--- a/tests/crowd/fleet.cpp
+++ b/tests/crowd/fleet.cpp
@@ -99,6 +99,7 @@
     const int log = ::open("/dev/null", O_WRONLY); // NOLINT(*-vararg): the signature of open()
     ::dup2(log, STDOUT_FILENO);
     std::vector<char*> words;
+    words.reserve(arguments.size() + 1);
     for (const std::string& it : arguments)
         words.push_back(const_cast<char*>(it.c_str())); // NOLINT(*-const-cast): execv() only reads
     words.push_back(nullptr);
