Fix: requests sent at once on one connection do not delay other callers

Cause: what had been read ahead on a connection, up to 16 KiB, was answered in a row before any other connection was served.

Change: one request of it each turn of the main loop. While some are left nothing more is read, and the connection is not idle.

Evidence: listener_place_test.cpp, "requests sent at once on one connection ..": 100 of 100 came before another caller's request with the code before, fewer than 10 now.

--- a/packages/net/listener_connection.cpp
+++ b/packages/net/listener_connection.cpp
@@ -62,7 +62,7 @@
 place_use http_listener::connection::use() const {
     switch (stage_) {
     case stage::reading:
-        if (parser_.stage() != parse_stage::not_started)
+        if (!is_idle())
             return place_use::receiving;
         return has_asked_ ? place_use::idle : place_use::unused;
     case stage::waiting:
@@ -108,7 +108,7 @@
     if (stage_ == stage::closed)
         return;
     stage_ = stage::closed;
-    cancel_timer();
+    cancel_timers();
     memory_.clear();
     watch_.reset();
     fd_ = unique_fd{};
@@ -142,6 +142,10 @@
 }
 
 bool http_listener::connection::read() {
+    if (!pipelined_bytes_.empty()) {
+        process_bytes(std::exchange(pipelined_bytes_, {}));
+        return true;
+    }
     auto& buf = read_buffer();
     const ssize_t n = ::recv(fd_.get(), buf.data(), buf.size(), 0);
     if (n < 0 && would_block())
@@ -167,6 +171,7 @@
         dispatch_request();
         return;
     }
+    watch_.set_interest({true, false});
     if (before == parse_stage::not_started)
         since_ = owner_.timers_.now();
     if (parser_.stage() == parse_stage::header && before == parse_stage::not_started)
@@ -267,17 +272,21 @@
         return;
     }
     expect_request();
-    watch_.set_interest({true, false});
-    process_pipelined();
+    if (pipelined_bytes_.empty())
+        watch_.set_interest({true, false});
+    else
+        schedule_pipelined();
 }
 
-void http_listener::connection::process_pipelined() {
-    // A request that is answered at once ends here again, while the loop below is running.
-    if (std::exchange(in_pipeline_, true))
+void http_listener::connection::schedule_pipelined() {
+    watch_.set_interest({});
+    if (next_request_)
         return;
-    while (stage_ == stage::reading && !pipelined_bytes_.empty())
-        process_bytes(std::exchange(pipelined_bytes_, {}));
-    in_pipeline_ = false;
+    next_request_ = owner_.timers_.schedule_after(duration{0}, [this] {
+        next_request_.reset();
+        if (stage_ == stage::reading)
+            read();
+    });
 }
 
 void http_listener::connection::linger() {
@@ -325,4 +334,10 @@
         owner_.timers_.cancel(*std::exchange(timer_, std::nullopt));
 }
 
+void http_listener::connection::cancel_timers() {
+    cancel_timer();
+    if (next_request_)
+        owner_.timers_.cancel(*std::exchange(next_request_, std::nullopt));
+}
+
 } // namespace pollengrade
--- a/packages/net/listener_connection.h
+++ b/packages/net/listener_connection.h
@@ -22,10 +22,11 @@
     connection& operator=(const connection&) = delete;
     connection(connection&&) = delete;
     connection& operator=(connection&&) = delete;
-    ~connection() { cancel_timer(); }
+    ~connection() { cancel_timers(); }
 
     [[nodiscard]] bool is_idle() const {
-        return stage_ == stage::reading && parser_.stage() == parse_stage::not_started;
+        return stage_ == stage::reading && parser_.stage() == parse_stage::not_started &&
+               pipelined_bytes_.empty();
     }
     /** @return what the connection is used for. */
     [[nodiscard]] place_use use() const;
@@ -64,7 +65,8 @@
     void abort();
     void start_writing(encoded_reply reply, bool keep_alive);
     void write();
-    void process_pipelined();
+    /** Reads the next pipelined request in the next turn of the main loop, after other callers' requests. */
+    void schedule_pipelined();
     /** Closes the connection gracefully: closing it with unread bytes would reset it, and the reply could be
      * lost. */
     void linger();
@@ -73,27 +75,28 @@
     void on_timeout();
     void set_timer(duration delay);
     void cancel_timer();
+    void cancel_timers();
 
-    http_listener& owner_;          ///< the listener that owns the connection
-    connection_key key_;            ///< its key in the listener
-    unique_fd fd_;                  ///< the socket
-    socket_watch watch_;            ///< must be removed before the socket is closed
-    stage stage_ = stage::reading;  ///< the current stage
-    request_parser parser_{{0, 0}}; ///< for the request being read
-    std::string pipelined_bytes_;   ///< bytes read after the end of the request
-    bool has_asked_ = false;        ///< whether a request has been read
-    time_point since_{};            ///< see unchanged_since()
-    bool in_pipeline_ = false;      ///< whether process_pipelined() is running
-    exchange_id exchange_;          ///< the request that waits for its reply
-    bool keep_alive_ = true;        ///< whether the connection stays open after the reply
-    bool allows_reply_body_ = true; ///< whether the reply may have a body
-    bool continue_sent_ = false;    ///< whether "100 Continue" has been sent
-    encoded_reply output_;          ///< the reply's bytes
-    std::size_t written_ = 0;       ///< bytes of the reply written so far
-    duration header_timeout_{};     ///< in force for this request
-    duration idle_timeout_{};       ///< in force for this request
-    std::optional<timer_id> timer_; ///< the timeout of the current stage
-    memory_holding memory_;         ///< the bytes of all members above that hold any
+    http_listener& owner_;                 ///< the listener that owns the connection
+    connection_key key_;                   ///< its key in the listener
+    unique_fd fd_;                         ///< the socket
+    socket_watch watch_;                   ///< must be removed before the socket is closed
+    stage stage_ = stage::reading;         ///< the current stage
+    request_parser parser_{{0, 0}};        ///< for the request being read
+    std::string pipelined_bytes_;          ///< bytes read after the end of the request
+    bool has_asked_ = false;               ///< whether a request has been read
+    time_point since_{};                   ///< see unchanged_since()
+    std::optional<timer_id> next_request_; ///< reads the next pipelined request
+    exchange_id exchange_;                 ///< the request that waits for its reply
+    bool keep_alive_ = true;               ///< whether the connection stays open after the reply
+    bool allows_reply_body_ = true;        ///< whether the reply may have a body
+    bool continue_sent_ = false;           ///< whether "100 Continue" has been sent
+    encoded_reply output_;                 ///< the reply's bytes
+    std::size_t written_ = 0;              ///< bytes of the reply written so far
+    duration header_timeout_{};            ///< in force for this request
+    duration idle_timeout_{};              ///< in force for this request
+    std::optional<timer_id> timer_;        ///< the timeout of the current stage
+    memory_holding memory_;                ///< the bytes of all members above that hold any
 };
 
 } // namespace pollengrade
--- a/tests/net/listener_place_test.cpp
+++ b/tests/net/listener_place_test.cpp
@@ -1,8 +1,11 @@
 /** @file listener_place_test.cpp A listener without a place for another connection. */
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -57,13 +60,15 @@
     metrics counts;
     caller_memory memory{1'000'000, clock.timers(), counts};
     int requests = 0;
+    std::vector<std::string> targets; ///< of all requests, in the order of reading
     http_listener listener{poller,
                            clock.timers(),
                            memory,
                            counts,
                            2,
-                           {[this](exchange_id id, const request_message&) {
+                           {[this](exchange_id id, const request_message& message) {
                                 ++requests;
+                                targets.push_back(message.target);
                                 reply_message reply;
                                 reply.status = 200;
                                 listener.reply(id, reply);
@@ -87,6 +92,22 @@
     CHECK_FALSE(fixture::is_closed(kept));
 }
 
+TEST_CASE("requests sent at once on one connection do not delay the request of another caller") {
+    fixture it;
+    const unique_fd many = it.connect();
+    const unique_fd other = it.connect();
+    std::string bytes;
+    for (int n = 0; n < 100; ++n)
+        bytes += request;
+    CHECK(::send(many.get(), bytes.data(), bytes.size(), 0) == static_cast<ssize_t>(bytes.size()));
+    const std::string_view one = "GET /other HTTP/1.1\r\nHost: a\r\n\r\n";
+    CHECK(::send(other.get(), one.data(), one.size(), 0) > 0);
+    it.run(std::chrono::milliseconds{300});
+    CHECK(it.requests == 101);
+    const auto at = std::find(it.targets.begin(), it.targets.end(), "/other");
+    CHECK(at - it.targets.begin() < 10);
+}
+
 TEST_CASE("a request that has arrived unread is served when its idle connection should give up its place") {
     fixture it;
     const unique_fd first = it.connect();
