--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -164,7 +164,7 @@
     crowd readers{all.callers(), 20, {[](std::size_t n) { return get(route_kind::lookup, n); }, 0, 512}};
     crowd senders{all.callers(), 20, {[](std::size_t n) { return post(n); }, 1000, 65536}};
     crowd silent{all.callers(), 20, {}};
-    constexpr std::size_t few_turns = 10;
+    constexpr std::size_t few_turns = 30;
     play(all, {&readers, &senders, &silent}, few_turns);
     ::kill(all.node().id(), SIGTERM);
     play(all, {&readers, &senders, &silent}, few_turns);
