Fix: a soak run without time for faults draws no crowds

On arm64 the same division gives no signal but a start at any time.

Cause: add_crowds() takes a remainder by the length of the faults, which is 0 there. No node is at fault.

--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -123,10 +123,10 @@
 
 void add_crowds(std::vector<planned_fault>& plan, const std::function<std::uint64_t()>& random,
                 const soak_config& config) {
-    if (!config.has_crowds())
+    const auto longest = static_cast<std::uint64_t>(to_milliseconds(config.fault_duration));
+    if (!config.has_crowds() || longest == 0)
         return;
     const std::uint64_t count = 1 + random() % max_crowds;
-    const auto longest = static_cast<std::uint64_t>(to_milliseconds(config.fault_duration));
     for (std::uint64_t n = 0; n < count; ++n) {
         planned_fault it;
         it.kind = fault_kind::callers_crowding;
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -75,7 +75,8 @@
 [[nodiscard]] std::vector<planned_fault> generate_faults(const std::function<std::uint64_t()>& random,
                                                          const soak_config& config);
 
-/** Adds crowds to a plan whose seed plays them; the other faults stay as they are. */
+/** Adds crowds to a plan whose seed plays them; the other faults stay as they are. A run without time for
+ * faults gets none. */
 void add_crowds(std::vector<planned_fault>& plan, const std::function<std::uint64_t()>& random,
                 const soak_config& config);
 
