Fix: a burst of requests that the servers can answer in time is not refused

Callers saw: 503 (overload) for an ordinary request beside 500 clients that come back whenever their kept connections are closed.

Cause, traced by the node's log: a route's service lets 16 requests wait for each server, and refused each further one, whatever the wait. A crowd that comes back at once fills that; the refusals named an expected wait of 6 to 17 ms, beside 1,500 ms that were left.

Change: beyond 16, up to 256 for each server, a request waits if its servers are expected to answer it within its target; while too little is known of them, the old limit holds. Retries, and the own interface's queue_per_server, keep their limits. As queues may be longer, the dispatcher stops looking for a server once none has room, and looks at the room for all waiting attempts once.

Why it works: what limits a queue is the time that it costs, and that is checked. Where the crowd's load is above the target, the refusals stay.

--- a/packages/core/queries/admission.cpp
+++ b/packages/core/queries/admission.cpp
@@ -54,7 +54,12 @@
         decision.longest_wait = std::max(decision.longest_wait.value_or(duration{0}), wait);
         const duration rate_excess = rate + reply - std::min(it.target_left, it.time_left);
         const bool is_within_rates = rate.count() == 0 || rate_excess <= duration{0};
-        if (found == availability::waiting && queue < it.time_left && is_within_rates)
+        const bool may_queue =
+            found == availability::waiting
+                ? queue < it.time_left
+                : found == availability::crowded &&
+                      servers.answers_within(set, it.work, std::min(it.target_left, it.time_left));
+        if (may_queue && is_within_rates)
             ++decision.in_time;
         else
             excess.push_back(is_within_rates ? queue - it.time_left
--- a/packages/core/queries/gather.cpp
+++ b/packages/core/queries/gather.cpp
@@ -159,6 +159,10 @@
            latest;
 }
 
+bool gather::may_join_crowd(const attempt_request& request) const {
+    return context_.servers.answers_within(request.set, plan_.work, request.target - context_.timers.now());
+}
+
 std::optional<missing_reason> gather::send_attempt(std::size_t index, placement_purpose purpose) {
     if (last_send_ && context_.timers.now() >= *last_send_)
         return missing_reason::deadline;
@@ -171,13 +175,15 @@
     const availability found = context_.servers.availability_of(request.set, request.excluded, purpose);
     if (found == availability::none)
         return missing_reason::no_replica;
-    if (found == availability::full || exceeds_rate_limits(request))
+    request.target = plan_.soft_deadline.value_or(plan_.deadline);
+    const bool may_queue =
+        found != availability::crowded || (purpose == placement_purpose::first && may_join_crowd(request));
+    if (found == availability::full || !may_queue || exceeds_rate_limits(request))
         return missing_reason::load_shed;
     ++context_.counts.counter("shard_requests_sent");
     request.work = plan_.work;
     request.request = plan_.request;
     request.deadline = plan_.deadline;
-    request.target = plan_.soft_deadline.value_or(plan_.deadline);
     request.priority = plan_.priority;
     request.purpose = purpose;
     request.content = hooks_.content(index);
--- a/packages/core/queries/gather.h
+++ b/packages/core/queries/gather.h
@@ -115,6 +115,8 @@
     std::optional<missing_reason> send_attempt(std::size_t index, placement_purpose purpose);
     /** @return whether the servers' stated rates do not allow one more attempt in time. */
     [[nodiscard]] bool exceeds_rate_limits(const attempt_request& request) const;
+    /** @return whether a first attempt may be queued behind many others. */
+    [[nodiscard]] bool may_join_crowd(const attempt_request& request) const;
     void log_plan();
     void arm_hedge(std::size_t index);
     void hedge(std::size_t index);
--- a/packages/core/queries/order_run.cpp
+++ b/packages/core/queries/order_run.cpp
@@ -301,7 +301,7 @@
     const shard_entry& shard = shard_of_number(*map_, request_.query->number);
     const replica_set_name set = service::set_of(shard);
     const availability found = context_.servers.availability_of(set, tried_, placement_purpose::no_trial);
-    if (found == availability::none || found == availability::full) {
+    if (found != availability::immediate && found != availability::waiting) {
         refuse(refusal_reason::upstream_refused, upstream_retry_after);
         release();
         return;
--- a/packages/core/queries/service.cpp
+++ b/packages/core/queries/service.cpp
@@ -66,7 +66,7 @@
                 members.push_back(id_of(it));
                 servers_.put_server({members.back(), it, {}, {}}, limits);
             }
-            servers_.set_members(set_of(shard), std::move(members), document_.queue_per_server);
+            servers_.set_members(set_of(shard), std::move(members), {document_.queue_per_server, 0});
         }
     }
 }
--- a/packages/core/upstreams/dispatcher.cpp
+++ b/packages/core/upstreams/dispatcher.cpp
@@ -94,14 +94,14 @@
 }
 
 void dispatcher::set_members(const replica_set_name& name, std::vector<upstream_id> members,
-                             std::uint32_t max_waiting) {
+                             queue_limits limits) {
     replica_set& set = sets_[name];
     for (const upstream_id& it : set.members)
         std::erase(sets_of_[it], name);
     for (const upstream_id& it : members)
         sets_of_[it].push_back(name);
     set.members = std::move(members);
-    set.max_waiting = max_waiting;
+    set.limits = limits;
     dispatch_waiting(name);
 }
 
@@ -143,9 +143,20 @@
     const replica_set* set = set_of(name);
     if (set == nullptr)
         return availability::none;
+    const availability room = room_at(*set, excluded, purpose);
+    if (room != availability::waiting)
+        return room;
+    const std::size_t waiting = set->waiting_in_time(timers_.now());
+    if (waiting < set->limits.any * set->members.size())
+        return availability::waiting;
+    return waiting < set->limits.in_time * set->members.size() ? availability::crowded : availability::full;
+}
+
+availability dispatcher::room_at(const replica_set& set, std::span<const upstream_id> excluded,
+                                 placement_purpose purpose) const {
     const time_point now = timers_.now();
     bool any = false;
-    for (const upstream_id& id : set->members) {
+    for (const upstream_id& id : set.members) {
         const upstream* server = find(id);
         if (server == nullptr || std::find(excluded.begin(), excluded.end(), id) != excluded.end())
             continue;
@@ -158,10 +169,7 @@
         // A server with an open connection, or that is not known to be unreachable, will have room.
         any = any || server->open_connections() > 0 || !server->health().is_unreachable();
     }
-    if (!any || purpose == placement_purpose::hedge)
-        return availability::none;
-    return set->waiting_in_time(now) < set->max_waiting * set->members.size() ? availability::waiting
-                                                                              : availability::full;
+    return any && purpose != placement_purpose::hedge ? availability::waiting : availability::none;
 }
 
 std::optional<upstream_id> dispatcher::choose_server(const attempt_request& request) {
--- a/packages/core/upstreams/dispatcher.h
+++ b/packages/core/upstreams/dispatcher.h
@@ -70,8 +70,7 @@
     /** Removes a server: it is sent no new requests, and is deleted once its requests have ended. */
     void remove_server(const upstream_id& id);
     /** Sets the servers of a replica set. @pre put_server() was called for all of them */
-    void set_members(const replica_set_name& set, std::vector<upstream_id> members,
-                     std::uint32_t max_waiting);
+    void set_members(const replica_set_name& set, std::vector<upstream_id> members, queue_limits limits);
     /** Records that a server is leaving, or is live; see upstream::mark_leaving() and mark_live(). */
     void note_leaving(const upstream_id& id, std::string_view incarnation, const leaving_report& report);
     void note_live(const upstream_id& id, std::string_view incarnation);
@@ -89,6 +88,10 @@
     /** @return the expected time until a new request is answered; nullopt if no server is usable. */
     [[nodiscard]] std::optional<duration> expected_wait(const replica_set_name& set,
                                                         const work_class& work) const;
+    /** @return whether a new request is expected to be answered within a time; false if too little is known.
+     */
+    [[nodiscard]] bool answers_within(const replica_set_name& set, const work_class& work,
+                                      duration time_left) const;
     /**
      * @return the time until a new attempt may be sent within the request rates that the servers state; zero
      * if a usable server states none
@@ -107,7 +110,7 @@
      * @param request what to send
      * @param done called once when the attempt ends, unless it is cancelled; never from within submit()
      * @return the attempt's ID
-     * @pre availability_of() is immediate or waiting
+     * @pre availability_of() is immediate or waiting, or crowded and answers_within() its target
      */
     attempt_id submit(attempt_request request, completion done);
     /** Cancels an attempt. Unknown IDs are ignored. */
@@ -152,6 +155,10 @@
 
     upstream* at(const upstream_id& id);
     [[nodiscard]] const replica_set* set_of(const replica_set_name& name) const;
+    /** @return immediate, waiting or none: whether a server has room or will have; the queue is not counted.
+     */
+    [[nodiscard]] availability room_at(const replica_set& set, std::span<const upstream_id> excluded,
+                                       placement_purpose purpose) const;
     /** @return the servers of a set that take requests and are not known to be unreachable. */
     [[nodiscard]] std::vector<const upstream*> reachable_servers(const replica_set& set,
                                                                  std::span<const upstream_id> excluded) const;
--- a/packages/core/upstreams/dispatcher_waiting.cpp
+++ b/packages/core/upstreams/dispatcher_waiting.cpp
@@ -6,6 +6,12 @@
 
 namespace pollengrade {
 
+namespace {
+
+constexpr double usual_reply = 0.5; ///< quantile of the reply times that a queue's length is multiplied by
+
+} // namespace
+
 std::vector<const upstream*> dispatcher::reachable_servers(const replica_set& set,
                                                            std::span<const upstream_id> excluded) const {
     const time_point now = timers_.now();
@@ -36,11 +42,18 @@
     }
     if (parallel == 0)
         return std::nullopt;
-    constexpr double median = 0.5;
-    const duration each = latency_quantile(work, median).value_or(duration{0});
+    const duration each = latency_quantile(work, usual_reply).value_or(duration{0});
     return each * (ahead / parallel + 1);
 }
 
+bool dispatcher::answers_within(const replica_set_name& name, const work_class& work,
+                                duration time_left) const {
+    if (!latency_quantile(work, usual_reply))
+        return false;
+    const auto wait = expected_wait(name, work);
+    return wait && *wait <= time_left;
+}
+
 duration dispatcher::rate_wait(const replica_set_name& name, std::span<const upstream_id> excluded) const {
     const replica_set* set = set_of(name);
     if (set == nullptr)
@@ -87,6 +100,8 @@
     std::stable_partition(in_sending_order.begin(), in_sending_order.end(),
                           [now = timers_.now()](const waiting_attempt& it) { return !it.is_too_late(now); });
     for (const waiting_attempt& it : in_sending_order) {
+        if (room_at(set, {}, placement_purpose::first) != availability::immediate)
+            break;
         if (!set.waiting.contains(it))
             continue; // Already sent: a connection that fails immediately calls this function recursively.
         const auto server = choose_server(attempts_.at(it.id).request);
@@ -126,10 +141,16 @@
 }
 
 void dispatcher::fail_unservable(replica_set& set) {
+    if (set.waiting.empty())
+        return;
     std::vector<std::pair<attempt_id, attempt_error>> unservable;
+    // The same for all attempts that may go to any server; a queue can be long.
+    const availability usual_room = room_at(set, {}, placement_purpose::first);
     for (const waiting_attempt& it : set.waiting) {
         const attempt_request& request = attempts_.at(it.id).request;
-        if (availability_of(request.set, request.excluded, request.purpose) == availability::none)
+        const bool is_usual = request.excluded.empty() && request.purpose != placement_purpose::hedge;
+        const availability room = is_usual ? usual_room : room_at(set, request.excluded, request.purpose);
+        if (room == availability::none)
             unservable.emplace_back(it.id, attempt_error::not_sent);
         else if (it.is_too_late(timers_.now()) && rate_wait(request.set, request.excluded).count() > 0)
             unservable.emplace_back(it.id, attempt_error::rate_limited);
--- a/packages/core/upstreams/replica_set.h
+++ b/packages/core/upstreams/replica_set.h
@@ -17,6 +17,7 @@
 enum class availability : std::uint8_t {
     immediate, ///< a server can be sent the attempt now
     waiting,   ///< a server is expected to have room, and the attempt may be queued
+    crowded,   ///< the queue is long, and the attempt may be queued if it is expected to be answered in time
     full,      ///< the queue is full
     none,      ///< no usable server is known
 };
@@ -35,11 +36,17 @@
     friend auto operator<=>(const waiting_attempt&, const waiting_attempt&) = default;
 };
 
+/** How many attempts may wait, for each server of a set. */
+struct queue_limits {
+    std::uint32_t any = 64;    ///< any attempts
+    std::uint32_t in_time = 0; ///< beyond that, those that are expected to be answered in time
+};
+
 /** One replica set. */
 struct replica_set {
     std::vector<upstream_id> members;  ///< its servers, in any condition
     std::set<waiting_attempt> waiting; ///< queued attempts, in the order of sending
-    std::uint32_t max_waiting = 64;    ///< queue limit for each server of the set
+    queue_limits limits;               ///< how long the queue may be
 
     /** @return the number of queued attempts that a new one would wait for, because they are not too late. */
     [[nodiscard]] std::size_t waiting_in_time(time_point now) const {
--- a/packages/core/upstreams/server_pool.cpp
+++ b/packages/core/upstreams/server_pool.cpp
@@ -15,7 +15,8 @@
 constexpr std::uint32_t reserved_nodes = 2;
 /** Selected nodes per spare share: a node that was replaced may still hold its connections. */
 constexpr std::uint32_t nodes_per_replacement = 4;
-constexpr std::uint32_t max_waiting = 16;        ///< attempts that may wait for each server
+/** Many clients at once fill a short queue, also when the servers need only a moment for all of them. */
+constexpr queue_limits max_waiting{16, 256};
 constexpr std::uint32_t unknown_connections = 1; ///< for a service that the routes do not describe
 
 /** Servers need about this long to detect that the connections of a VM without power are dead. */
--- a/tests/core/queries/forward_test.cpp
+++ b/tests/core/queries/forward_test.cpp
@@ -47,7 +47,7 @@
     timer_queue timers = paused_clock();
     fake_network network{timers};
     const upstream_id only = network.add("only");
-    network.servers().set_members(replica_set_name{"s0"}, {only}, 4);
+    network.servers().set_members(replica_set_name{"s0"}, {only}, {4, 0});
     forwarder forwards{{timers, network.servers(), network.log(), network.counts()},
                        seeded_random(1),
                        failure_domain{"here"},
--- a/tests/core/queries/leaving_statement_test.cpp
+++ b/tests/core/queries/leaving_statement_test.cpp
@@ -22,7 +22,7 @@
                 std::vector<upstream_id> members;
                 for (const char* replica : {"a", "b"})
                     members.push_back(it->add("s" + std::to_string(service) + replica));
-                it->servers().set_members(replica_set_name{"s" + std::to_string(service)}, members, 4);
+                it->servers().set_members(replica_set_name{"s" + std::to_string(service)}, members, {4, 0});
             }
             it->connect_all();
         }
--- a/tests/core/upstreams/departures_test.cpp
+++ b/tests/core/upstreams/departures_test.cpp
@@ -21,7 +21,7 @@
 /** A node with two servers; "a" states in a reply that it leaves. */
 struct fixture {
     fixture() {
-        network.servers().set_members(replica_set_name{"s"}, {network.add("a")}, 4);
+        network.servers().set_members(replica_set_name{"s"}, {network.add("a")}, {4, 0});
         network.connect_all();
         send();
         network.answer_leaving(network.requests().front().connection, good_reply("proof"));
@@ -39,7 +39,7 @@
     void remove_and_return() {
         network.servers().remove_server(upstream_id{"a"});
         network.servers().put_server({upstream_id{"a"}, upstream_address{"127.9.0.1:9000"}, {}, "a"}, {2, 2});
-        network.servers().set_members(replica_set_name{"s"}, {upstream_id{"a"}}, 4);
+        network.servers().set_members(replica_set_name{"s"}, {upstream_id{"a"}}, {4, 0});
         network.connect_all();
     }
 
--- a/tests/core/upstreams/dispatcher_test.cpp
+++ b/tests/core/upstreams/dispatcher_test.cpp
@@ -21,7 +21,7 @@
     explicit fixture(std::uint64_t seed = 1) : network{timers, seed} {}
 
     void publish(const std::vector<upstream_id>& members) {
-        network.servers().set_members(replica_set_name{"set"}, members, 4);
+        network.servers().set_members(replica_set_name{"set"}, members, {4, 0});
     }
 
     attempt_id submit(placement_purpose purpose = placement_purpose::first, std::int64_t deadline_ms = 1000) {
--- a/tests/net/reply_flood_test.cpp
+++ b/tests/net/reply_flood_test.cpp
@@ -133,7 +133,7 @@
         const std::string address = servers_thread.add(std::move(script));
         servers.put_server({upstream_id{name}, upstream_address{address}, failure_domain{"here"}, name},
                            {connections, connections});
-        servers.set_members(replica_set_name{name}, {upstream_id{name}}, 1000);
+        servers.set_members(replica_set_name{name}, {upstream_id{name}}, {1000, 0});
     }
 
     void submit(const std::string& name, duration time_left) {
--- a/tests/support/forward_fixture.h
+++ b/tests/support/forward_fixture.h
@@ -71,7 +71,7 @@
             std::vector<upstream_id> members;
             for (const char* replica : {"a", "b"})
                 members.push_back(network.add("s" + std::to_string(service) + replica));
-            network.servers().set_members(replica_set_name{"s" + std::to_string(service)}, members, 4);
+            network.servers().set_members(replica_set_name{"s" + std::to_string(service)}, members, {4, 64});
         }
         network.connect_all();
         forwards.apply(table_of(1, {one_route(true), one_route(false), gather_route(4, least_share)}, 4));
--- a/tests/support/load_model.cpp
+++ b/tests/support/load_model.cpp
@@ -229,7 +229,7 @@
                                      failure_domain{std::to_string(replica)}, members.back().value()},
                                     {share, plan.slots, true, static_cast<double>(plan.nodes)});
             }
-            servers_.set_members(replica_set_name{"s" + std::to_string(shard)}, members, 16);
+            servers_.set_members(replica_set_name{"s" + std::to_string(shard)}, members, {16, 256});
         }
     }
 
