Fix: what the kernel holds for callers that send ahead is bounded in sum

Callers saw nothing yet; the machine did: 1,200 connections that each sent 400 requests at once and read nothing took 24 MB in the process and 37 to 38 MB in the kernel, of 48 MB that the node had.

Cause: the kernel's buffers were bounded for each connection (24 KB received and 22 KB sent, as /proc/net/tcp showed) and counted for none. A connection that could not write a short answer held less than 4 KiB in the process and so counted as nothing.

Change: whoever sends requests before its last answer is written is counted with what the kernel may hold for it, also between two of its requests, and so is a connection whose send buffer is full. When the sum is above the quarter that callers have, the most costly is given up, or refused (503, not run), as before. The receive buffer is 4 KiB until a body is received, and 16 KiB from then on, as it was for all.

Why it works: a receive buffer can fill before the node has looked at the connection, so it has to be small from the start; what follows is counted. Who awaits each answer is counted as before.

--- a/packages/net/http_listener.cpp
+++ b/packages/net/http_listener.cpp
@@ -18,9 +18,6 @@
  */
 constexpr std::size_t freed_part = 128;
 constexpr int max_accepts_per_turn = 32; ///< further connections wait for the next loop iteration
-/** Of each connection and direction. What a caller neither reads nor lets this node read stays in the kernel.
- */
-constexpr int kernel_buffer_bytes = 16 * 1024;
 /** Delay after a failed accept, for example when the process is out of descriptors. */
 constexpr duration accept_pause = std::chrono::milliseconds{100};
 
@@ -37,7 +34,7 @@
     listener_ = listen_at(address);
     if (!listener_.is_valid())
         return tl::unexpected{listen_error::address_in_use_or_denied};
-    limit_buffers(listener_, kernel_buffer_bytes);
+    limit_buffers(listener_, caller_buffers);
     accepting_ = true;
     watch_ = poller_.add(listener_, {true, false}, [this](socket_events) { accept(); });
     return {};
--- a/packages/net/listener_connection.cpp
+++ b/packages/net/listener_connection.cpp
@@ -177,6 +177,8 @@
     if (parser_.stage() == parse_stage::header && before == parse_stage::not_started)
         set_timer(header_timeout_);
     if (parser_.stage() == parse_stage::body) {
+        if (!std::exchange(receives_bodies_, true))
+            enlarge_receive_buffer(fd_, body_buffer_bytes);
         set_timer(idle_timeout_);
         if (parser_.expects_continue() && !std::exchange(continue_sent_, true))
             ::send(fd_.get(), continue_reply.data(), continue_reply.size(), MSG_NOSIGNAL);
@@ -188,8 +190,7 @@
 }
 
 void http_listener::connection::dispatch_request() {
-    const std::size_t held = parser_.allocated_bytes() + pipelined_bytes_.capacity();
-    if (!memory_.set(holding_kind::run, held)) {
+    if (!memory_.set(holding_kind::run, parser_.allocated_bytes() + bytes_ahead())) {
         refuse_for_room();
         return;
     }
@@ -222,6 +223,12 @@
     refuse(std::move(message));
 }
 
+std::size_t http_listener::connection::bytes_ahead() const {
+    if (pipelined_bytes_.empty())
+        return 0;
+    return pipelined_bytes_.capacity() + caller_buffers.sent + caller_buffers.received;
+}
+
 void http_listener::connection::give_up() {
     if (stage_ == stage::reading)
         refuse_for_room();
@@ -245,7 +252,9 @@
     if (stage_ != stage::writing)
         return;
     watch_.set_interest({false, true});
-    const std::size_t held = output_.head.capacity() + output_.body.capacity() + pipelined_bytes_.capacity();
+    // The kernel takes no more, so its buffer is full.
+    const std::size_t in_kernel = pipelined_bytes_.empty() ? caller_buffers.sent : 0; // or counted as ahead
+    const std::size_t held = output_.head.capacity() + output_.body.capacity() + in_kernel + bytes_ahead();
     if (!memory_.set(holding_kind::reply, held))
         abort();
     else
@@ -274,8 +283,10 @@
     expect_request();
     if (pipelined_bytes_.empty())
         watch_.set_interest({true, false});
-    else
+    else if (memory_.set(holding_kind::request, bytes_ahead()))
         schedule_pipelined();
+    else
+        refuse_for_room();
 }
 
 void http_listener::connection::schedule_pipelined() {
--- a/packages/net/listener_connection.h
+++ b/packages/net/listener_connection.h
@@ -10,10 +10,18 @@
 #include "net/http_listener.h"
 #include "net/message_writer.h"
 #include "net/place_func.h"
+#include "net/socket_func.h"
 #include "net/unique_fd.h"
 
 namespace pollengrade {
 
+/**
+ * Of each connection. What a caller does not read stays in the kernel, as does what it sends before its last
+ * reply is written. Heads are short and need no large buffer; for a body the buffer grows.
+ */
+inline constexpr buffer_sizes caller_buffers{16 * 1024, 4 * 1024};
+inline constexpr int body_buffer_bytes = 16 * 1024; ///< once a body is being received
+
 /** A caller's connection: repeatedly reads a request, waits for the owner's reply and writes it. */
 class http_listener::connection {
 public:
@@ -59,6 +67,11 @@
     /** Refuses the request that is being read, and closes the connection after the reply. */
     void refuse(reply_message message);
     void refuse_for_room();
+    /**
+     * @return what a caller that sends requests before its last reply is written takes: the bytes read so far
+     * and what the kernel may hold in both directions, as it may read as little as it waits; 0 for others
+     */
+    [[nodiscard]] std::size_t bytes_ahead() const;
     /** Releases what the connection holds because others need the room. */
     void give_up();
     /** Closes the connection and discards what has not been sent. */
@@ -90,6 +103,7 @@
     exchange_id exchange_;                 ///< the request that waits for its reply
     bool keep_alive_ = true;               ///< whether the connection stays open after the reply
     bool allows_reply_body_ = true;        ///< whether the reply may have a body
+    bool receives_bodies_ = false;         ///< whether the kernel's buffer is that for bodies
     bool continue_sent_ = false;           ///< whether "100 Continue" has been sent
     encoded_reply output_;                 ///< the reply's bytes
     std::size_t written_ = 0;              ///< bytes of the reply written so far
--- a/packages/net/socket_func.cpp
+++ b/packages/net/socket_func.cpp
@@ -110,9 +110,15 @@
     return fd;
 }
 
-void limit_buffers(const unique_fd& listener, int bytes) {
-    set_option(listener, SOL_SOCKET, SO_SNDBUF, bytes);
-    set_option(listener, SOL_SOCKET, SO_RCVBUF, bytes);
+void limit_buffers(const unique_fd& listener, buffer_sizes sizes) {
+    set_option(listener, SOL_SOCKET, SO_SNDBUF, sizes.sent);
+    set_option(listener, SOL_SOCKET, SO_RCVBUF, sizes.received);
+}
+
+void enlarge_receive_buffer(const unique_fd& fd, int bytes) {
+    set_option(fd, SOL_SOCKET, SO_RCVBUF, bytes);
+    // The window was fixed by the smaller buffer when the connection was established.
+    set_option(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, 2 * bytes);
 }
 
 void reset_on_close(const unique_fd& fd) {
--- a/packages/net/socket_func.h
+++ b/packages/net/socket_func.h
@@ -38,11 +38,17 @@
 [[nodiscard]] unique_fd start_connect(std::string_view address, const keepalive_limits& limits,
                                       std::string_view source = {});
 
-/**
- * Bounds the kernel's buffers of all connections that a listening socket accepts from now on.
- * @param bytes for each direction; the kernel takes up to twice as much
- */
-void limit_buffers(const unique_fd& listener, int bytes);
+/** Sizes of the kernel's buffers of a connection, in bytes; the kernel takes up to twice as much. */
+struct buffer_sizes {
+    int sent = 0;     ///< bytes sent and not acknowledged
+    int received = 0; ///< bytes received and not read
+};
+
+/** Bounds the kernel's buffers of all connections that a listening socket accepts from now on. */
+void limit_buffers(const unique_fd& listener, buffer_sizes sizes);
+
+/** Lets the kernel hold more received bytes of one connection, and its peer send as many. */
+void enlarge_receive_buffer(const unique_fd& fd, int bytes);
 
 /** Makes the next close of a socket discard what has not been sent; the peer sees a reset. */
 void reset_on_close(const unique_fd& fd);
--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -96,6 +96,19 @@
     check_crowd(options, 200, {many, 0, 0});
 }
 
+TEST_CASE("many connections whose buffers are full do not take the machine's memory") {
+    // Each asks for short answers until the kernel holds no more of them, and does not read.
+    fleet_options options;
+    options.memory_mb = 48;
+    const auto some = [](std::size_t n) {
+        std::string bytes;
+        for (std::size_t k = 0; k < 400; ++k)
+            bytes += get(route_kind::lookup, 1000 * n + k);
+        return bytes;
+    };
+    check_crowd(options, 1200, {some, 0, 0});
+}
+
 TEST_CASE("bodies sent a byte at a time do not take the node's memory") {
     constexpr std::size_t last_bytes = 1000;
     check_crowd({}, 400, {[](std::size_t n) { return post(n); }, last_bytes, 65536});
