Fix: the soak's control calls take effect in their order

The store answered for half a second after it was woken, then was silent until the end of the run, so that nodes that had restarted knew nothing. No node is at fault.

Change: a stand-in gets its next control call once the one before has been answered, or its connection has ended.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <utility>
 
 #include "broken_reply.h"
@@ -377,6 +378,21 @@
 }
 
 void fault_injector::call(const std::string& address, const std::string& path) {
+    auto& waiting = waiting_calls_[address];
+    waiting.push_back(path);
+    if (waiting.size() == 1)
+        send_call(address);
+}
+
+void fault_injector::end_call(const std::string& address) {
+    auto& waiting = waiting_calls_[address];
+    waiting.pop_front();
+    if (!waiting.empty())
+        timers_.schedule_after(duration{0}, [this, address] { send_call(address); });
+}
+
+void fault_injector::send_call(const std::string& address) {
+    const std::string path = waiting_calls_[address].front();
     const std::size_t index = calls_.size();
     request_message message{"GET", path, {{"Host", address}, {"Connection", "close"}}, {}, false};
     outgoing_request out;
@@ -384,16 +400,26 @@
     out.header += "\r\n";
     client_connection_hooks hooks;
     hooks.connected = [this, index, out] { calls_[index]->send(out); };
-    hooks.replied = [](const reply_message&) {};
-    hooks.ended = [this, address, path](connection_end why) {
+    const auto has_ended = std::make_shared<bool>(false);
+    hooks.replied = [this, address, has_ended](const reply_message&) {
+        if (!std::exchange(*has_ended, true))
+            end_call(address);
+    };
+    hooks.ended = [this, address, has_ended](connection_end why) {
+        if (std::exchange(*has_ended, true))
+            return;
         // A stand-in that has exited restarts without the fault, so no retry is needed. One that is suspended
-        // accepts calls later, so the call is retried.
+        // accepts calls later, so the call is retried; later ones wait, as they may end what it begins.
         if (why == connection_end::silent)
-            timers_.schedule_after(control_retry_delay, [this, address, path] { call(address, path); });
+            timers_.schedule_after(control_retry_delay, [this, address] { send_call(address); });
+        else
+            end_call(address);
     };
     calls_.push_back(std::make_unique<client_connection>(poller_, address, reply_limits, std::move(hooks)));
-    if (!calls_[index]->connect())
+    if (!calls_[index]->connect()) {
         std::cout << address << path << " could not be connected to\n";
+        end_call(address);
+    }
 }
 
 } // namespace pollengrade
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -58,7 +60,10 @@
     void set_server_fault(const planned_fault& it, const std::string& on, const std::string& off);
     void set_mode(std::vector<std::unique_ptr<link_proxy>>& links, std::size_t first, std::size_t step,
                   link_mode mode, duration length);
+    /** Calls a stand-in's control page once all earlier calls to it have been answered. */
     void call(const std::string& address, const std::string& path);
+    void send_call(const std::string& address);
+    void end_call(const std::string& address);
     void record_disturbance(std::uint32_t node, duration length, bool is_planned, bool ends_process = false);
     void signal(const std::string& process, int number) const;
     [[nodiscard]] int pid_of(const std::string& process) const;
@@ -73,8 +78,10 @@
     std::vector<disturbance> disturbances_;                 ///< see disturbances()
     std::vector<disturbance> server_disturbances_;          ///< see server_disturbances()
     std::vector<std::unique_ptr<client_connection>> calls_; ///< control calls to the stand-ins
-    std::uint32_t overdue_stops_ = 0;                       ///< see overdue_stops()
-    std::size_t highest_memory_ = 0;                        ///< see highest_memory()
+    /** Paths by address, the one that is being called first. */
+    std::map<std::string, std::deque<std::string>> waiting_calls_;
+    std::uint32_t overdue_stops_ = 0; ///< see overdue_stops()
+    std::size_t highest_memory_ = 0;  ///< see highest_memory()
 };
 
 } // namespace pollengrade
