Fix: an entry that is not JSON does not end nodes or hide other entries

Cause: the depth was counted outside of double quotes before the parser of json-glib, which recurses and also takes comments and strings in single quotes. A quote in one of these makes the count skip the brackets behind it. Evidence: a stack overflow in json_parser_load_from_data (trace by the fuzzer); the same depth without a comment is rejected. Ruled out: the size of the entry, the lists' slicer (the text passes it), the reading of peers.

Change: json_scanner reads JSON by RFC 8259 without recursion, and only what it accepts, within limits of depth and of values, reaches the library. Boost.JSON was weighed: its parser recurses as well, and the ends of values that are nested too deeply are needed, so that they hide no other. The scanner replaces the counter and the slicer's own grammar. Related, found on the way: one quote in a comment put the slicer out of step and hid the whole list, so that a node that started then never became ready. An entry of 400,000 values was parsed (about 100 bytes each); it now names no server.

Why it works: there is one reader before the library, and it accepts no more than the library does.

--- a/packages/json/json_slice.cpp
+++ b/packages/json/json_slice.cpp
@@ -1,4 +1,4 @@
-/** @file json_slice.cpp Scans JSON for the ends of its values. */
+/** @file json_slice.cpp Finds the ends of the values in a JSON text. */
 #include "json/json_slice.h"
 
 #include <algorithm>
@@ -6,107 +6,12 @@
 #include <cstddef>
 #include <system_error>
 
+#include "json/json_scanner.h"
+
 namespace pollengrade {
 
 namespace {
 
-/** A position in a JSON text. */
-class scanner {
-public:
-    explicit scanner(std::string_view text) : text_{text} {}
-
-    /** Skips white space and then one character. @return false, and skips nothing more, if it is another */
-    bool take(char expected) {
-        skip_space();
-        if (at_ >= text_.size() || text_[at_] != expected)
-            return false;
-        ++at_;
-        return true;
-    }
-
-    /** Skips white space and a value. @return the value; nullopt if there is none or it has no end */
-    std::optional<std::string_view> value() {
-        skip_space();
-        const std::size_t from = at_;
-        if (!skip_value() || at_ == from)
-            return std::nullopt;
-        return text_.substr(from, at_ - from);
-    }
-
-    [[nodiscard]] bool is_at_end() {
-        skip_space();
-        return at_ >= text_.size();
-    }
-
-private:
-    static bool is_opening(char c) { return c == '[' || c == '{'; }
-    static bool is_closing(char c) { return c == ']' || c == '}'; }
-    static bool closes(char opening, char c) { return (opening == '[') == (c == ']'); }
-    static bool is_separator(char c) { return c == ',' || c == ':' || c == ']' || c == '}'; }
-    static bool is_space(char c) { return c == ' ' || c == '\t' || c == '\r' || c == '\n'; }
-
-    [[nodiscard]] bool is_at_end_of_scalar() const {
-        return at_ >= text_.size() || is_separator(text_[at_]) || is_space(text_[at_]);
-    }
-
-    void skip_space() {
-        while (at_ < text_.size() && is_space(text_[at_]))
-            ++at_;
-    }
-
-    /** @return false if the value has no end */
-    bool skip_value() {
-        if (at_ < text_.size() && text_[at_] == '"')
-            return skip_string();
-        if (at_ < text_.size() && is_opening(text_[at_]))
-            return skip_brackets();
-        while (!is_at_end_of_scalar())
-            ++at_;
-        return true;
-    }
-
-    bool skip_brackets() {
-        std::string open; // The brackets that are open. One that closes another kind is skipped.
-        while (at_ < text_.size()) {
-            const char c = text_[at_];
-            if (c == '"') {
-                if (!skip_string())
-                    return false;
-                continue;
-            }
-            ++at_;
-            if (is_opening(c))
-                open.push_back(c);
-            else if (is_closing(c) && closes(open.back(), c))
-                open.pop_back();
-            if (open.empty())
-                return true;
-        }
-        return false;
-    }
-
-    /** @return false if the string has no end */
-    bool skip_string() {
-        for (++at_; at_ < text_.size(); ++at_) {
-            if (text_[at_] == '\\') {
-                ++at_;
-            } else if (text_[at_] == '"') {
-                ++at_;
-                return true;
-            }
-        }
-        return false;
-    }
-
-    std::string_view text_; ///< the text
-    std::size_t at_ = 0;    ///< the next character
-};
-
-/** @return the text between the quotes of a string. */
-std::string_view unquoted(std::string_view text) {
-    return text.size() < 2 ? std::string_view{} : text.substr(1, text.size() - 2);
-}
-
 constexpr std::size_t escape_size = 6; ///< of "\uXXXX"
 
 /** @return the code unit of an escape "\uXXXX" at the start of @p text; nullopt if there is none. */
@@ -130,8 +35,12 @@
 
 } // namespace
 
+std::string_view unquoted(std::string_view text) {
+    return text.size() < 2 ? std::string_view{} : text.substr(1, text.size() - 2);
+}
+
 std::optional<std::vector<json_slice_member>> members_of(std::string_view text) {
-    scanner at{text};
+    json_scanner at{text};
     std::vector<json_slice_member> members;
     if (!at.take('{'))
         return std::nullopt;
@@ -149,22 +58,6 @@
     return at.take('}') && at.is_at_end() ? std::optional{std::move(members)} : std::nullopt;
 }
 
-std::optional<std::vector<std::string_view>> elements_of(std::string_view text) {
-    scanner at{text};
-    std::vector<std::string_view> elements;
-    if (!at.take('['))
-        return std::nullopt;
-    if (at.take(']'))
-        return at.is_at_end() ? std::optional{elements} : std::nullopt;
-    do {
-        const auto value = at.value();
-        if (!value)
-            return std::nullopt;
-        elements.push_back(*value);
-    } while (at.take(','));
-    return at.take(']') && at.is_at_end() ? std::optional{std::move(elements)} : std::nullopt;
-}
-
 std::optional<std::string_view> value_of(const std::vector<json_slice_member>& members,
                                          std::string_view name) {
     const auto it = std::find_if(members.begin(), members.end(),
--- a/packages/json/json_slice.h
+++ b/packages/json/json_slice.h
@@ -1,5 +1,5 @@
-/** @file json_slice.h Finds the parts of a JSON text without parsing them: one that the parser rejects then
- * hides no other. */
+/** @file json_slice.h Finds the parts of a JSON text without parsing them: one that the parser rejects, as it
+ * is nested too deeply or has too many values, then hides no other. */
 #pragma once
 
 #include <optional>
@@ -16,12 +16,11 @@
 };
 
 /**
- * Only strings, brackets and separators are looked at, without recursion.
- * @return the members of an object, as views of @p text; nullopt if it is no object or has no end
+ * @return the members of an object, as views of @p text; nullopt if it is no object or not JSON
  */
 [[nodiscard]] std::optional<std::vector<json_slice_member>> members_of(std::string_view text);
-/** @return the elements of an array, as views of @p text; nullopt if it is no array or has no end. */
-[[nodiscard]] std::optional<std::vector<std::string_view>> elements_of(std::string_view text);
+/** @return the text between the quotes of a string. */
+[[nodiscard]] std::string_view unquoted(std::string_view text);
 /** @return the text of a member's value; nullopt if there is no such member. */
 [[nodiscard]] std::optional<std::string_view> value_of(const std::vector<json_slice_member>& members,
                                                        std::string_view name);
--- a/packages/json/json_view.cpp
+++ b/packages/json/json_view.cpp
@@ -1,36 +1,16 @@
 /** @file json_view.cpp Implements JSON reading and writing with json-glib. */
 #include "json/json_view.h"
 
+#include "json/json_scanner.h"
+
 namespace pollengrade {
 
 namespace {
 
-/**
- * @return whether no array or object in @p text is nested deeper than @p max_depth.
- * The parser recurses, so deeper nesting could exhaust the stack.
- */
-bool has_bounded_depth(std::string_view text, int max_depth) {
-    int depth = 0;
-    bool in_string = false;
-    for (std::size_t n = 0; n < text.size(); ++n) {
-        const char c = text[n];
-        if (in_string) {
-            if (c == '\\')
-                ++n;
-            else if (c == '"')
-                in_string = false;
-            continue;
-        }
-        if (c == '"')
-            in_string = true;
-        else if (c == '[' || c == '{')
-            ++depth;
-        else if (c == ']' || c == '}')
-            --depth;
-        if (depth > max_depth)
-            return false;
-    }
-    return true;
+/** @return whether a text is JSON within limits. The library's parser recurses and accepts more than JSON. */
+bool is_json(std::string_view text, json_limits limits) {
+    json_scanner at{text, limits.depth};
+    return at.value() && at.is_at_end() && at.value_count() <= limits.values;
 }
 
 /** Reads member @p name of @p object with @p read; nullopt when there is no such member. */
@@ -133,8 +113,8 @@
     return static_cast<std::uint64_t>(*n);
 }
 
-std::optional<json_document> json_document::parse(std::string_view text, int max_depth) {
-    if (text.empty() || !has_bounded_depth(text, max_depth))
+std::optional<json_document> json_document::parse(std::string_view text, json_limits limits) {
+    if (!is_json(text, limits))
         return std::nullopt;
     gobject_ptr<JsonParser> parser{json_parser_new()};
     const auto size = static_cast<gssize>(text.size());
--- a/packages/json/json_view.h
+++ b/packages/json/json_view.h
@@ -1,4 +1,4 @@
-/** @file json_view.h Reads JSON with a limit on nesting depth, and writes JSON. */
+/** @file json_view.h Reads JSON within limits, and writes JSON. */
 #pragma once
 
 #include <cstddef>
@@ -15,9 +15,16 @@
 
 namespace pollengrade {
 
-inline constexpr int max_json_depth = 16; ///< maximum nesting of texts in the formats of this project
-inline constexpr int max_platform_json_depth =
-    200; ///< maximum nesting of platform texts, which may contain objects of other clients
+/** Limits of a text that is parsed, whose values take stack and memory. */
+struct json_limits {
+    std::size_t depth = 0;  ///< arrays and objects around the innermost value
+    std::size_t values = 0; ///< values, with those inside arrays and objects
+};
+
+/** For texts in the formats of this project. */
+inline constexpr json_limits own_json_limits{16, 200'000};
+/** For the platform's texts, which may contain objects of other clients. */
+inline constexpr json_limits platform_json_limits{200, 200'000};
 
 struct json_member;
 
@@ -61,8 +68,9 @@
 /** A parsed JSON text. */
 class json_document {
 public:
-    /** @return the document; nullopt when @p text is not JSON or is nested too deeply. */
-    static std::optional<json_document> parse(std::string_view text, int max_depth = max_json_depth);
+    /** @return the document; nullopt when @p text is not JSON as RFC 8259 defines it, or beyond the limits.
+     */
+    static std::optional<json_document> parse(std::string_view text, json_limits limits = own_json_limits);
 
     [[nodiscard]] json_view root() const { return json_view{json_parser_get_root(parser_.get())}; }
 
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -162,6 +162,8 @@
               << to_milliseconds(it.length) << " ms\n";
     if (it.kind == fault_kind::callers_crowding) {
         start_crowd(it);
+    } else if (it.kind == fault_kind::entry_odd) {
+        call(config_.store_address(), "/standin/odd-entry?kind=" + std::to_string(it.target));
     } else if (it.kind <= fault_kind::all_nodes_killed || it.kind == fault_kind::callers_delayed ||
                it.kind == fault_kind::callers_reset) {
         inject_node_fault(it);
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -44,7 +44,8 @@
                                                           "store_loses_calls",
                                                           "store_forgets",
                                                           "version_written",
-                                                          "callers_crowding"};
+                                                          "callers_crowding",
+                                                          "entry_odd"};
 
 /** What operators and the platform do on a calm day; only then is it certain what a stop may cut off. */
 constexpr std::array planned_kinds{fault_kind::node_stopped, fault_kind::nodes_stopped,
@@ -57,6 +58,7 @@
 /** The kinds that draw_kind() chooses from. */
 constexpr std::size_t drawn_kinds = static_cast<std::size_t>(fault_kind::version_written) + 1;
 constexpr std::uint64_t max_crowds = 4;
+constexpr std::uint64_t max_odd_entries = 3;
 constexpr std::uint64_t mean_gap_ms = 700; ///< between the starts of faults, or of series of faults
 constexpr std::uint64_t min_length_ms = 100;
 constexpr std::uint64_t max_length_ms = 3000;
@@ -141,4 +143,16 @@
                      [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
 }
 
+void add_odd_entries(std::vector<planned_fault>& plan, const std::function<std::uint64_t()>& random,
+                     const soak_config& config) {
+    const auto longest = static_cast<std::uint64_t>(to_milliseconds(config.fault_duration));
+    if (longest == 0)
+        return;
+    for (std::uint64_t n = 1 + random() % max_odd_entries; n > 0; --n)
+        plan.push_back({std::chrono::milliseconds{random() % longest}, duration{0}, fault_kind::entry_odd,
+                        static_cast<std::uint32_t>(random()), 0});
+    std::stable_sort(plan.begin(), plan.end(),
+                     [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+}
+
 } // namespace pollengrade
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -50,9 +50,10 @@
     store_forgets,       ///< the store loses its change history
     version_written,     ///< the operator writes the next version
     callers_crowding,    ///< a crowd of clients that misbehave connects to a node; drawn by add_crowds()
+    entry_odd,           ///< another writer's entry is not JSON; drawn by add_odd_entries()
 };
 
-inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(fault_kind::callers_crowding) + 1;
+inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(fault_kind::entry_odd) + 1;
 
 /** @return the name that is printed in logs. */
 [[nodiscard]] std::string_view to_string(fault_kind it);
@@ -79,5 +80,8 @@
  * faults gets none. */
 void add_crowds(std::vector<planned_fault>& plan, const std::function<std::uint64_t()>& random,
                 const soak_config& config);
+/** Adds entries of another writer that are not JSON, drawn apart from the faults of generate_faults(). */
+void add_odd_entries(std::vector<planned_fault>& plan, const std::function<std::uint64_t()>& random,
+                     const soak_config& config);
 
 } // namespace pollengrade
--- a/standins/standin_platform.cpp
+++ b/standins/standin_platform.cpp
@@ -16,6 +16,7 @@
 
 #include "core/base/id_type.h"
 #include "http/uri_func.h"
+#include "odd_entry.h"
 #include "platform/wire_names.h"
 #include "runtime/glib_ptr.h"
 #include "runtime/loop_clock.h"
@@ -175,25 +176,30 @@
     }
 
     static std::string object_json(const std::string& name, const object& it) {
-        json_writer out;
-        out.begin_object().name(wire_names::meta).begin_object().member(wire_names::name, name);
-        out.member(wire_names::revision, it.revision).member("created", it.created);
-        out.name("finalizers").begin_array().end_array().member("delete-requested", false).end_object();
-        out.name(wire_names::spec).raw(it.spec).name(wire_names::status).raw("null");
-        return out.end_object().take();
+        json_writer meta;
+        meta.begin_object().member(wire_names::name, name);
+        meta.member(wire_names::revision, it.revision).member("created", it.created);
+        meta.name("finalizers").begin_array().end_array().member("delete-requested", false).end_object();
+        return member_text(wire_names::meta, meta.take(), '{') + member_text(wire_names::spec, it.spec, ',') +
+               member_text(wire_names::status, "null", ',') + "}";
+    }
+
+    /** @return a member whose value need not be JSON, as another writer's entry is sent as it was written. */
+    static std::string member_text(std::string_view name, std::string_view value, char before) {
+        return before + ("\"" + std::string{name} + "\":") + std::string{value};
     }
 
     std::string list_json(const std::string& kind, const std::string& after) {
         constexpr std::size_t page_objects = 50;
-        json_writer out;
-        out.begin_object().name(wire_names::items).begin_array();
+        std::string items;
         std::size_t count = 0;
         const auto& all = objects_[kind];
         auto it = all.upper_bound(after);
         for (; it != all.end() && count < page_objects; ++it, ++count)
-            out.raw(object_json(it->first, it->second));
-        out.end_array().member(wire_names::has_more, it != all.end());
-        return out.member(wire_names::store_revision, revision_).end_object().take();
+            items += (count == 0 ? "" : ",") + object_json(it->first, it->second);
+        return member_text(wire_names::items, "[" + items + "]", '{') +
+               member_text(wire_names::has_more, it != all.end() ? "true" : "false", ',') +
+               member_text(wire_names::store_revision, std::to_string(revision_), ',') + "}";
     }
 
     void get(SoupServerMessage* message, const std::string& kind, const std::string& name) {
@@ -245,6 +251,13 @@
             respond(message, is_new ? SOUP_STATUS_CREATED : SOUP_STATUS_OK, object_json(name, it));
     }
 
+    void write_odd_entry(std::size_t odd_kind) {
+        const std::string name = "m-odd-" + std::to_string(odd_kind);
+        object& it = objects_[wire_names::servers_kind][name];
+        it = {++revision_, revision_, odd_entry(odd_kind), clock_.timers().now()};
+        record_change({revision_, wire_names::servers_kind, name, it, false});
+    }
+
     void remove(SoupServerMessage* message, const std::string& kind, const std::string& name) {
         const auto known = objects_[kind].find(name);
         if (known == objects_[kind].end()) {
@@ -273,15 +286,16 @@
     }
 
     std::string changes_json(const std::string& kind, std::uint64_t after) const {
-        json_writer out;
-        out.begin_object().name(wire_names::events).begin_array();
+        std::string events;
         for (const change& it : history_) {
             if (it.kind != kind || it.revision <= after)
                 continue;
-            out.begin_object().name(wire_names::object).raw(object_json(it.name, it.value));
-            out.member(wire_names::deleted, it.removed).end_object();
+            events += events.empty() ? "" : ",";
+            events += member_text(wire_names::object, object_json(it.name, it.value), '{') +
+                      member_text(wire_names::deleted, it.removed ? "true" : "false", ',') + "}";
         }
-        return out.end_array().member(wire_names::store_revision, revision_).end_object().take();
+        return member_text(wire_names::events, "[" + events + "]", '{') +
+               member_text(wire_names::store_revision, std::to_string(revision_), ',') + "}";
     }
 
     bool has_changes(const std::string& kind, std::uint64_t after) const {
@@ -336,6 +350,8 @@
             delay_ms_ = static_cast<std::int64_t>(query_number(query, "delay_ms", 0));
             if (mode_ != fault_mode::none)
                 drop_watches();
+        } else if (path == "/standin/odd-entry") {
+            write_odd_entry(query_number(query, "kind", 0));
         } else if (path == "/standin/forget") {
             // Compaction: watches cannot start from an earlier revision any more.
             history_.clear();
--- a/tests/fuzz/fuzz_inputs.cpp
+++ b/tests/fuzz/fuzz_inputs.cpp
@@ -1,12 +1,14 @@
 /** @file fuzz_inputs.cpp libFuzzer target: every parser of external input must either accept or reject its
  * input without a crash, and what it accepts as a reply is one. */
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <cstdlib>
 #include <cstring>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <capnp/serialize.h>
 #include <kj/exception.h>
@@ -22,6 +24,7 @@
 #include "platform/forward_codec.h"
 #include "platform/object_decoder.h"
 #include "platform/route_decoder.h"
+#include "json/json_view.h"
 
 namespace pollengrade {
 
@@ -118,6 +121,30 @@
     read_reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string{bytes});
 }
 
+/** @return a text made of JSON's parts and of what lenient parsers accept besides, with brackets that nest as
+ * deeply as @p depth after one of its first parts. */
+std::string json_like_from(std::string_view bytes, std::size_t depth) {
+    constexpr std::array<std::string_view, 22> parts{
+        "[",  "]",  "{",     "}",      ",",       ":", "\"",     "'",    "/*",   "*/",       "//",
+        "\n", "\\", "\"a\"", "\"a\":", "{\"a\":", "0", "-1.5e3", "true", "null", "/* \" */", "'\"'"};
+    constexpr std::size_t places = 3;
+    const std::size_t nested_at = bytes.size() % places;
+    std::string text;
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        text += parts.at(static_cast<unsigned char>(bytes[n]) % parts.size());
+        if (n == nested_at)
+            text += std::string(depth, '[') + std::string(depth, ']');
+    }
+    return text;
+}
+
+/** @return a list or changes of the store, with an object that has a text for its content. */
+std::string with_content(std::string_view list, std::string_view content) {
+    return "{\"" + std::string{list} + R"(":[{"object":{"meta":{"name":"a","revision":1},"spec":)" +
+           std::string{content} + R"(},"meta":{"name":"a","revision":1},"spec":)" + std::string{content} +
+           R"(}],"has-more":false,"store-revision":9})";
+}
+
 /** Decodes a text as each of the platform's formats. */
 void read_platform(std::string_view text) {
     static_cast<void>(decode_routes(text));
@@ -129,6 +156,24 @@
     static_cast<void>(decode_target(text));
 }
 
+/** Parses a text that is nearly JSON, alone and as the content of an object. */
+void read_json_like(const std::string& text) {
+    static_cast<void>(json_document::parse(text));
+    static_cast<void>(decode_page(object_kind::servers, with_content("items", text), 1));
+    static_cast<void>(decode_changes(object_kind::routes, with_content("events", text), 1));
+}
+
+constexpr std::uint8_t first_json_like = 224; ///< first byte of inputs from which such a text is made
+constexpr std::uint8_t first_deep = 252;      ///< and one that may exhaust a recursive parser's stack
+
+/** @return how deeply such a text nests. Deep texts take long, so only some of all inputs are. */
+std::size_t draw_depth(std::uint8_t first_byte) {
+    constexpr std::size_t deep = 150'000;
+    constexpr std::size_t shallow = 20;
+    static int deep_left = 200;
+    return first_byte >= first_deep && deep_left-- > 0 ? deep : shallow;
+}
+
 } // namespace
 
 } // namespace pollengrade
@@ -162,7 +207,10 @@
         read_messages(text);
         break;
     case 6:
-        read_platform(text);
+        if (data[0] < first_json_like)
+            read_platform(text);
+        else
+            read_json_like(json_like_from(text, draw_depth(data[0])));
         break;
     default:
         read_peer_message(text);
--- a/tests/platform/foreign_entry_test.cpp
+++ b/tests/platform/foreign_entry_test.cpp
@@ -1,11 +1,15 @@
 /** @file foreign_entry_test.cpp An odd entry of another writer hides no other entry of the store. */
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
 #include <string>
 #include <vector>
 
 #include "platform/object_decoder.h"
 #include "json/json_slice.h"
+#include "json/json_view.h"
 
 namespace pollengrade {
 
@@ -57,6 +61,24 @@
             "{\"service\":\"\xff\xfe\"}"};
 }
 
+/** Contents that are no JSON, although the parser of a library accepts some of them. */
+std::vector<std::string> specs_not_json() {
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    std::vector<std::string> specs;
+    for (const char* before :
+         {R"(/* " */)", R"(/* " */ /* " */)", "/* ' */", "// \"\n", "/* ] */", "/* } */", "'\"',", "'\"':1,",
+          R"("":'",')", "\"\x01\":1,", "'", "\"", "}", "]", "]}", R"(,{"meta":)"}) {
+        specs.push_back("{" + std::string{before} + R"("notes":)" + deep + "}");
+        specs.push_back("{" + std::string{before} + R"("notes":)" + deep + before + "}");
+        specs.push_back("{" + std::string{before} + R"("notes":1)" + before + "}");
+        specs.push_back("[" + std::string{before} + deep);
+    }
+    specs.push_back(good_spec() + "/* */");
+    specs.push_back(good_spec() + "1");
+    specs.push_back("");
+    return specs;
+}
+
 /** Objects that can't be matched to an entry. */
 std::vector<std::string> unidentified_objects() {
     return {R"({"meta":{"revision":7},"spec":{}})",
@@ -111,6 +133,64 @@
     }
 }
 
+// Fault: a list nested 200,000 deep behind a comment exhausted the parser's stack and ended every node.
+TEST_CASE(
+    "an entry that is no JSON, but that a lenient parser accepts, ends no node and hides no other entry") {
+    for (const std::string& spec : specs_not_json()) {
+        CAPTURE(spec.substr(0, 40));
+        CAPTURE(spec.substr(spec.size() - std::min<std::size_t>(spec.size(), 20)));
+        CHECK_FALSE(json_document::parse(spec, platform_json_limits));
+        CHECK_FALSE(routes_version(spec));
+        for (const std::size_t place : {std::size_t{0}, std::size_t{1}, std::size_t{2}}) {
+            std::vector<std::string> objects{object("a", good_spec()), object("z", good_spec())};
+            objects.insert(objects.begin() + static_cast<std::ptrdiff_t>(place), object("odd", spec));
+            const auto page = decode_page(object_kind::servers, page_of(objects), 1);
+            REQUIRE(page);
+            REQUIRE(page->list.objects.size() == 3);
+            CHECK(page->list.objects[place].name == "odd");
+            for (std::size_t n = 0; n < 3; ++n)
+                CHECK(names_server(page->list.objects[n]) == (n != place));
+            const auto changes = decode_changes(object_kind::servers, changes_of(objects), 1);
+            REQUIRE(changes);
+            REQUIRE(changes->changes.size() == 3);
+            for (std::size_t n = 0; n < 3; ++n)
+                CHECK(names_server(changes->changes[n].object) == (n != place));
+        }
+        CHECK_FALSE(
+            decode_object(object_kind::order_claim, object("odd", "{" + spec), 1)
+                .map([](const stored_object& it) { return std::holds_alternative<std::string>(it.content); })
+                .value_or(false));
+    }
+}
+
+// Fault: values take memory, so an entry of a million of them is not read at all.
+TEST_CASE("an entry with very many values names no server, and the others hold") {
+    std::string values = "[0";
+    for (int n = 0; n < 400'000; ++n)
+        values += ",0";
+    const std::string spec = R"({"notes":)" + values + "]," + good_spec().substr(1);
+    const auto page =
+        decode_page(object_kind::servers, page_of({object("odd", spec), object("z", good_spec())}), 1);
+    REQUIRE(page);
+    REQUIRE(page->list.objects.size() == 2);
+    CHECK_FALSE(names_server(page->list.objects[0]));
+    CHECK(names_server(page->list.objects[1]));
+}
+
+// Fault: finding the next entry behind an odd one must not take time that grows with the square of the size.
+TEST_CASE("an odd entry that begins like an entry at every place is read in bounded time") {
+    std::string spec = "{";
+    while (spec.size() < 900'000)
+        spec += R"(,{"meta":[0)";
+    const auto began = std::chrono::steady_clock::now();
+    const auto page =
+        decode_page(object_kind::servers, page_of({object("odd", spec), object("z", good_spec())}), 1);
+    CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds{2});
+    REQUIRE(page);
+    CHECK(page->list.objects.size() == 2);
+    CHECK(names_server(page->list.objects.back()));
+}
+
 TEST_CASE("an object without a readable name or revision is left out and counted, the others hold") {
     for (const std::string& odd : unidentified_objects()) {
         CAPTURE(odd.substr(0, 100));
