Fix: a node that knows no other node watches the store and serves by itself

Cause: the holders are computed from the known nodes, of which a lone node was told none. A gather's group then had no holder, nobody watched the store, and without watchers nobody waited for confirmations. And seeds changed in the settings were not used. Evidence: the table's unit test; the real node alone. Ruled out: watch and gossip; without a gather the node followed.

Change: a group without a pick has no holders, so the duties are the node's own; a node reports itself when it starts; changed seeds are joined through; nodes that left are probed like dead ones. watch.pml gets a node that knows no other, with a broken variant that is found. The soak leaves one node alone.

Tests failed before: "holders: a node that knows of no node ..", "a node that left and started again with lost seeds ..", "a node that knows no other one .." (real processes; the request was never served); "a node that started with lost seeds .." (there was no way to set seeds).

--- a/models/watch.pml
+++ b/models/watch.pml
@@ -6,7 +6,8 @@
  * Three nodes, of which node 0 watches the store for all, in discrete time. The store becomes silent to any nodes at any
  * time, and answers again. One change is written. In each step of time any nodes exchange gossip or none: a node
  * may take newer content from a peer, and takes its confirmation if it then holds all that the peer holds. A node whose newest
- * confirmation has reached the age CHECK_AGE asks the store itself.
+ * confirmation has reached the age CHECK_AGE asks the store itself. Node 2 may know no other node at any time: it then exchanges no
+ * gossip, and watches the store itself (packages/core/cluster/holders.cpp).
  */
 #define NODES 3
 #define CHECK_AGE 3
@@ -18,8 +19,11 @@
 bool silent[NODES];           /* whether the store answers the node nothing */
 byte holds[NODES] = 1;        /* version that the node acts on */
 byte age[NODES];              /* of its newest confirmation, in steps */
+bool alone = false;           /* whether node 2 knows no other node */
 byte now = 0;
 
+#define knows_nobody(n) (alone && (n) == 2)
+
 inline ask_store(n) {
     if
     :: !silent[n] -> holds[n] = version; age[n] = 0
@@ -49,14 +53,17 @@
 /* One step of a node: gossip with one peer or none, then its duty. */
 inline step(n) {
     if
-    :: true -> gossip(n, (n + 1) % NODES)
-    :: true -> gossip(n, (n + 2) % NODES)
+    :: !knows_nobody(n) && !knows_nobody((n + 1) % NODES) -> gossip(n, (n + 1) % NODES)
+    :: !knows_nobody(n) && !knows_nobody((n + 2) % NODES) -> gossip(n, (n + 2) % NODES)
     :: true -> skip
     fi;
     if
     :: n == 0 -> ask_store(n)
+#ifndef BROKEN_NO_DUTY_ALONE
+    :: knows_nobody(n) -> ask_store(n)
+#endif
 #ifndef BROKEN_TRUST_THE_WATCHER
-    :: n != 0 && age[n] >= CHECK_AGE -> ask_store(n)
+    :: n != 0 && !knows_nobody(n) && age[n] >= CHECK_AGE -> ask_store(n)
 #endif
     :: else -> skip
     fi
@@ -74,6 +81,10 @@
             :: else -> break
             od;
             if
+            :: alone = true
+            :: alone = false
+            fi;
+            if
             :: version == 1 -> version = 2; written = now
             :: skip
             fi;
--- a/packages/core/cluster/holders.cpp
+++ b/packages/core/cluster/holders.cpp
@@ -152,7 +152,8 @@
         std::copy_if(nodes.begin(), nodes.end(), std::back_inserter(candidates),
                      [&near](const member& it) { return near.contains(it.domain); });
         auto picked = pick_holders(name, candidates, max_holders(connections));
-        if (!needs_holders(connections, nodes.size(), picked.size()))
+        // While no node is known that could hold the connections, this node does.
+        if (picked.empty() || !needs_holders(connections, nodes.size(), picked.size()))
             continue;
         group& it = groups_[key];
         it.holders = std::move(picked);
--- a/packages/core/cluster/holders.h
+++ b/packages/core/cluster/holders.h
@@ -73,9 +73,10 @@
     explicit holder_table(node_address self) : self_{std::move(self)} {}
 
     /**
-     * Recomputes the holders.
+     * Recomputes the holders. A group for which no node can be picked has none, so that this node connects to
+     * its servers and watches the store itself.
      * @param routes the routes in force; null for none
-     * @param nodes the running nodes, including this node
+     * @param nodes the running nodes, including this node; empty until they are known
      * @param places failure domains of the known servers
      */
     void update(const route_table_ptr& routes, std::span<const member> nodes,
--- a/packages/core/cluster/membership.cpp
+++ b/packages/core/cluster/membership.cpp
@@ -54,10 +54,22 @@
     std::erase(seeds_, self_.address); // The configured seeds may include this node.
 }
 
-void membership::start() {
-    queue_update(self_);
+void membership::set_seeds(std::vector<node_address> seeds) {
+    std::erase(seeds, self_.address);
+    if (std::exchange(seeds_, seeds) != seeds)
+        join();
+}
+
+void membership::join() {
     send_gossip_to_seeds();
+    if (list_timer_)
+        timers_.cancel(*std::exchange(list_timer_, std::nullopt));
     read_list(0);
+}
+
+void membership::start() {
+    queue_update(self_);
+    join();
     probe_lost_node();
     const auto jitter =
         static_cast<duration::rep>(random_() % static_cast<std::uint64_t>(probe_period.count()));
@@ -112,7 +124,10 @@
             apply_update(it, false);
     });
     const duration pause = reads < max_list_reads ? list_read_interval : rejoin_period;
-    timers_.schedule_after(pause, [this, reads] { read_list(reads + 1); });
+    list_timer_ = timers_.schedule_after(pause, [this, reads] {
+        list_timer_.reset();
+        read_list(reads + 1);
+    });
 }
 
 void membership::probe_lost_node() {
@@ -123,12 +138,13 @@
             lost.push_back(it);
     }
     for (const auto& [address, it] : others_) {
-        if (it.state == member_state::dead)
+        if (!is_live(it.state))
             lost.push_back(address);
     }
     if (lost.empty())
         return;
-    // After a network partition each side considers the other dead; a probe lets the target refute that.
+    // After a network partition each side considers the other dead; a probe lets the target refute that. A
+    // node that left may have started again at its address, with seeds that have been replaced since.
     send_gossip(lost[random_() % lost.size()]);
 }
 
--- a/packages/core/cluster/membership.h
+++ b/packages/core/cluster/membership.h
@@ -60,6 +60,8 @@
 
     /** Joins through the seeds and starts probing. */
     void start();
+    /** Takes other seeds, and joins through them if they differ. */
+    void set_seeds(std::vector<node_address> seeds);
     /** Notifies some nodes that this node is leaving. */
     void leave();
 
@@ -109,6 +111,7 @@
     bool probe_next_of(std::vector<node_address>& round, bool is_cross_domain);
     /** @return the other live nodes of other domains or of this domain, in random order. */
     [[nodiscard]] std::vector<node_address> make_round(bool is_cross_domain) const;
+    void join();
     void send_gossip_to_seeds();
     void probe_lost_node();
     void probe_next();
@@ -133,6 +136,7 @@
     std::vector<node_address> local_round_;  ///< nodes of this domain still to be probed in this round
     std::vector<node_address> remote_round_; ///< nodes of other domains still to be probed in this round
     std::uint32_t probes_ = 0;               ///< number of probe periods so far
+    std::optional<timer_id> list_timer_;     ///< the next read_list()
     time_point last_contact_;                ///< when gossip was last received
 };
 
--- a/packages/daemon/cluster.cpp
+++ b/packages/daemon/cluster.cpp
@@ -252,6 +252,7 @@
     if (const auto started = server_.listen(address_); !started)
         return started;
     membership_.start();
+    live_update_.trigger(); // A node that discovers no other one has all duties itself.
     pull_config_until_current();
     if (!is_routed_)
         freshness_.set_needed(true);
--- a/packages/daemon/cluster.h
+++ b/packages/daemon/cluster.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <span>
+#include <utility>
 #include <vector>
 
 #include <tl/expected.hpp>
@@ -57,6 +58,8 @@
 
     /** Listens for peers and joins the cluster. */
     tl::expected<void, listen_error> start();
+    /** Joins through other seeds from now on, see membership. */
+    void set_seeds(std::vector<node_address> seeds) { membership_.set_seeds(std::move(seeds)); }
     /** Notifies other nodes that this node is leaving. */
     void leave() { membership_.leave(); }
     /** Handles a report of whether the platform's store answers. */
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -286,6 +286,7 @@
 
 void node::reload(const node_settings& settings) {
     const bool can_apply = settings.callers == settings_.callers && settings.peers == settings_.peers;
+    cluster_.set_seeds(settings.seeds);
     log_.record(event_kind::settings_reloaded, {}, settings_.name,
                 {{event_key::outcome, can_apply ? "in_force" : "needs_a_restart"}});
 }
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <memory>
@@ -162,6 +163,8 @@
               << to_milliseconds(it.length) << " ms\n";
     if (it.kind == fault_kind::callers_crowding) {
         start_crowd(it);
+    } else if (it.kind == fault_kind::node_left_alone) {
+        leave_alone(it);
     } else if (it.kind == fault_kind::entry_odd) {
         call(config_.store_address(), "/standin/odd-entry?kind=" + std::to_string(it.target));
     } else if (it.kind <= fault_kind::all_nodes_killed || it.kind == fault_kind::callers_delayed ||
@@ -176,6 +179,24 @@
     }
 }
 
+void fault_injector::leave_alone(const planned_fault& it) {
+    for (std::uint32_t n = 0; n < config_.nodes; ++n) {
+        if (n != it.target) {
+            record_disturbance(n, it.length, false, true);
+            hold_back(node_process(n), it.length);
+        }
+        kill_node(n);
+    }
+    // The node has been undisturbed for long enough to be checked when the version is due.
+    timers_.schedule_after(it.length / 3, [this] { writer_.write({0, 1, 2, 3}); });
+}
+
+void fault_injector::hold_back(const std::string& process, duration length) {
+    const std::string file = config_.directory + "/" + process + ".hold";
+    std::ofstream{file} << "\n";
+    timers_.schedule_after(length, [file] { std::filesystem::remove(file); });
+}
+
 void fault_injector::start_crowd(const planned_fault& it) {
     // None of these requests is ever passed on to a server.
     constexpr std::size_t clients = 250;
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -52,6 +52,9 @@
     void inject_servers_fault(const planned_fault& it);
     void inject_store_fault(const planned_fault& it);
     void pause(const std::string& process, duration length);
+    void leave_alone(const planned_fault& it);
+    /** Keeps a process from being started for a time. */
+    void hold_back(const std::string& process, duration length);
     void start_crowd(const planned_fault& it);
     void play_crowd(const std::shared_ptr<crowd>& it, time_point end);
     void kill_node(std::uint32_t node);
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -45,7 +45,8 @@
                                                           "store_forgets",
                                                           "version_written",
                                                           "callers_crowding",
-                                                          "entry_odd"};
+                                                          "entry_odd",
+                                                          "node_left_alone"};
 
 /** What operators and the platform do on a calm day; only then is it certain what a stop may cut off. */
 constexpr std::array planned_kinds{fault_kind::node_stopped, fault_kind::nodes_stopped,
@@ -82,6 +83,11 @@
     return static_cast<fault_kind>(random() % drawn_kinds);
 }
 
+void sort_by_time(std::vector<planned_fault>& plan) {
+    std::stable_sort(plan.begin(), plan.end(),
+                     [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+}
+
 } // namespace
 
 std::string_view to_string(fault_kind it) {
@@ -118,8 +124,7 @@
         }
         at += random_ms(2 * mean_gap_ms);
     }
-    std::sort(plan.begin(), plan.end(),
-              [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+    sort_by_time(plan);
     return plan;
 }
 
@@ -139,8 +144,19 @@
         it.service = static_cast<std::uint32_t>(random() % crowd_kinds);
         plan.push_back(it);
     }
-    std::stable_sort(plan.begin(), plan.end(),
-                     [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+    sort_by_time(plan);
+}
+
+void add_lone_node(std::vector<planned_fault>& plan, const std::function<std::uint64_t()>& random,
+                   const soak_config& config) {
+    constexpr duration length = std::chrono::seconds{12};
+    if (!config.leaves_node_alone() || config.fault_duration <= length)
+        return;
+    const auto latest = static_cast<std::uint64_t>(to_milliseconds(config.fault_duration - length));
+    const auto left = static_cast<std::uint32_t>(random() % config.nodes);
+    plan.push_back(
+        {std::chrono::milliseconds{random() % latest}, length, fault_kind::node_left_alone, left, 0});
+    sort_by_time(plan);
 }
 
 void add_odd_entries(std::vector<planned_fault>& plan, const std::function<std::uint64_t()>& random,
@@ -151,8 +167,7 @@
     for (std::uint64_t n = 1 + random() % max_odd_entries; n > 0; --n)
         plan.push_back({std::chrono::milliseconds{random() % longest}, duration{0}, fault_kind::entry_odd,
                         static_cast<std::uint32_t>(random()), 0});
-    std::stable_sort(plan.begin(), plan.end(),
-                     [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+    sort_by_time(plan);
 }
 
 } // namespace pollengrade
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -51,9 +51,11 @@
     version_written,     ///< the operator writes the next version
     callers_crowding,    ///< a crowd of clients that misbehave connects to a node; drawn by add_crowds()
     entry_odd,           ///< another writer's entry is not JSON; drawn by add_odd_entries()
+    node_left_alone,     ///< all nodes but one are lost for some seconds, and that one restarts; drawn by
+                         ///< add_lone_node()
 };
 
-inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(fault_kind::entry_odd) + 1;
+inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(fault_kind::node_left_alone) + 1;
 
 /** @return the name that is printed in logs. */
 [[nodiscard]] std::string_view to_string(fault_kind it);
@@ -80,6 +82,9 @@
  * faults gets none. */
 void add_crowds(std::vector<planned_fault>& plan, const std::function<std::uint64_t()>& random,
                 const soak_config& config);
+/** Adds the loss of all nodes but one to a plan whose seed plays it, drawn apart like odd entries. */
+void add_lone_node(std::vector<planned_fault>& plan, const std::function<std::uint64_t()>& random,
+                   const soak_config& config);
 /** Adds entries of another writer that are not JSON, drawn apart from the faults of generate_faults(). */
 void add_odd_entries(std::vector<planned_fault>& plan, const std::function<std::uint64_t()>& random,
                      const soak_config& config);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -99,6 +99,7 @@
         std::vector<planned_fault> plan = generate_faults(random_, config_);
         add_crowds(plan, seeded_random(config_.seed + 2), config_);
         add_odd_entries(plan, seeded_random(config_.seed + 3), config_);
+        add_lone_node(plan, seeded_random(config_.seed + 4), config_);
         injector_.schedule(plan);
         timers_.schedule_after(config_.fault_duration, [this] {
             if (ends_with_kill_)
--- a/soak/soak_type.h
+++ b/soak/soak_type.h
@@ -41,6 +41,11 @@
         constexpr std::uint64_t crowds_one_in = 2;
         return seed % crowds_one_in == 1;
     }
+    /** @return whether all nodes but one are lost for some seconds. */
+    [[nodiscard]] bool leaves_node_alone() const {
+        constexpr std::uint64_t losses_one_in = 3;
+        return seed % losses_one_in == 2;
+    }
     [[nodiscard]] std::string host(std::uint32_t third, std::uint32_t last) const {
         return "127." + std::to_string(net) + "." + std::to_string(third) + "." + std::to_string(last);
     }
--- a/tests/core/cluster/cluster_logic_test.cpp
+++ b/tests/core/cluster/cluster_logic_test.cpp
@@ -29,7 +29,8 @@
 
 /** One node's membership and configuration. */
 struct cluster_node {
-    cluster_node(small_cluster& world, timer_queue& timers, std::size_t index, std::uint64_t start);
+    cluster_node(small_cluster& world, timer_queue& timers, std::size_t index, std::uint64_t start,
+                 std::vector<node_address> seeds);
 
     [[nodiscard]] object_version version() const {
         return store.version_of({config_kind::service_document, "desk"});
@@ -53,10 +54,11 @@
             add(n, 1);
     }
 
-    void add(std::size_t index, std::uint64_t start) {
+    void add(std::size_t index, std::uint64_t start,
+             std::vector<node_address> seeds = {address_of(0), address_of(1)}) {
         const node_address address = address_of(index);
         retired_.push_back(std::move(nodes_[address]));
-        nodes_[address] = std::make_unique<cluster_node>(*this, timers_, index, start);
+        nodes_[address] = std::make_unique<cluster_node>(*this, timers_, index, start, std::move(seeds));
         nodes_[address]->nodes.start();
     }
 
@@ -202,7 +204,8 @@
     return it;
 }
 
-cluster_node::cluster_node(small_cluster& world, timer_queue& timers, std::size_t index, std::uint64_t start)
+cluster_node::cluster_node(small_cluster& world, timer_queue& timers, std::size_t index, std::uint64_t start,
+                           std::vector<node_address> seeds)
     : store{[this](const config_entry& entry) {
           applied.push_back(entry.version);
           return true;
@@ -212,7 +215,7 @@
             counts,
             world.random(),
             self_of(index, start),
-            {small_cluster::address_of(0), small_cluster::address_of(1)},
+            std::move(seeds),
             make_hooks(world, *this)},
       spread{timers, store, counts, push_fanout, make_spread(world, *this)} {}
 
@@ -306,6 +309,40 @@
     CHECK(seen.state == member_state::alive);
 }
 
+// CONFIG: seeds that replaced lost ones were read with the settings, but not used.
+TEST_CASE("a node that started with lost seeds joins through those that replace them") {
+    small_cluster world{6, 5, 0};
+    world.pass(std::chrono::seconds{20});
+    world.at(0).running = false;
+    world.at(1).running = false;
+    world.add(6, 1);
+    world.pass(std::chrono::seconds{10});
+    CHECK(world.at(6).nodes.live().size() == 1);
+    world.at(6).nodes.set_seeds(
+        {small_cluster::address_of(6), small_cluster::address_of(2), small_cluster::address_of(3)});
+    world.pass(std::chrono::seconds{3});
+    CHECK(world.at(6).nodes.live().size() == 5);
+    for (std::size_t n = 2; n < 6; ++n)
+        CHECK(world.at(n).nodes.others().contains(small_cluster::address_of(6)));
+}
+
+// CONFIG: nodes that left were not looked for, so one that started again with lost seeds stayed alone.
+TEST_CASE("a node that left and started again with lost seeds is found by the others") {
+    small_cluster world{6, 6, 0};
+    world.pass(std::chrono::seconds{20});
+    world.at(0).running = false;
+    world.at(1).running = false;
+    world.at(4).nodes.leave();
+    world.pass(std::chrono::seconds{1});
+    world.at(4).running = false;
+    world.pass(std::chrono::seconds{2});
+    world.add(4, 2);
+    world.pass(std::chrono::seconds{10});
+    CHECK(world.at(4).nodes.live().size() == 4);
+    for (const std::size_t n : {2, 3, 5})
+        CHECK(world.at(n).nodes.others().at(small_cluster::address_of(4)).state == member_state::alive);
+}
+
 TEST_CASE("a node that leaves is known as leaving within two seconds") {
     small_cluster world{9, 4, 0};
     world.pass(std::chrono::seconds{20});
--- a/tests/core/cluster/holders_test.cpp
+++ b/tests/core/cluster/holders_test.cpp
@@ -276,6 +276,21 @@
     }
 }
 
+// CONFIG: a node that knew no node, not even itself, left all duties to holders that nobody was.
+TEST_CASE("holders: a node that knows of no node connects to all servers and watches the store") {
+    const auto routes = table_of(1, {"s1", "s2"}, 31, {"unnamed"});
+    holder_table table{node_of(0).address};
+    for (const std::vector<member>& nodes : {std::vector<member>{}, std::vector<member>{node_of(0)}}) {
+        table.update(routes, nodes, {});
+        CHECK_FALSE(table.is_divided());
+        CHECK(table.is_holder());
+        CHECK(holders_in(table, routes).empty());
+        for (const char* service : {"s1", "s2", "unnamed"})
+            CHECK(table.holds(service_name{service}));
+        CHECK(table.sharing_nodes(service_name{"s1"}) == 1);
+    }
+}
+
 TEST_CASE("holders: no holders are picked if every node has enough connections") {
     const auto nodes = nodes_of(6);
     const auto routes = table_of(1, {"s0", "s1"}, 16);
--- a/tests/crowd/fleet.cpp
+++ b/tests/crowd/fleet.cpp
@@ -25,6 +25,8 @@
 
 constexpr std::uint32_t crowd_net = 90; ///< second octet of all addresses
 constexpr int polls_per_second = 100;
+constexpr unsigned ok = 200;
+constexpr const char* readiness_path = "/api/readiness";
 constexpr useconds_t poll_period_us = 1'000'000 / polls_per_second;
 
 /** Waits until a condition holds, at most half a minute. */
@@ -133,8 +135,6 @@
     config_.net = crowd_net;
     config_.nodes = 2;
     config_.replicas = 2;
-    path_ =
-        std::filesystem::temp_directory_path() / ("pollengrade-crowd-" + std::to_string(::getpid()) + ".ini");
     path_ = (std::filesystem::temp_directory_path() / ("pollengrade-crowd-" + std::to_string(::getpid())))
                 .string();
     store_.emplace(std::vector<std::string>{STANDIN_PLATFORM, "--listen", config_.store_address()});
@@ -144,6 +144,19 @@
     }));
     if (options.has_routes)
         write_routes();
+    if (!options.is_alone)
+        start_servers(options);
+    node_.emplace(command_of_node(0, options), options.descriptors);
+    if (!options.is_alone) {
+        other_node_.emplace(command_of_node(1, options));
+    } else {
+        REQUIRE(wait_for([this] { return call(config_.node_readiness(0), "GET", readiness_path) == ok; }));
+        start_servers(options);
+    }
+    wait_until_ready(options.has_routes);
+}
+
+void fleet::start_servers(const fleet_options& options) {
     upstreams_.emplace(std::vector<std::string>{STANDIN_UPSTREAMS,
                                                 "--service",
                                                 service_family,
@@ -167,13 +180,11 @@
                                                 config_.control_address(0),
                                                 "--platform",
                                                 config_.store_address()});
-    node_.emplace(command_of_node(0, options), options.descriptors);
-    other_node_.emplace(command_of_node(1, options));
-    wait_until_ready(options.has_routes);
 }
 
 std::vector<std::string> fleet::command_of_node(std::uint32_t n, const fleet_options& options) const {
     const std::string settings = path_ + "-" + std::to_string(n) + ".ini";
+    const std::uint32_t seeds = options.is_alone ? 247 : 250; // Nothing listens at the first.
     std::ofstream out{settings};
     out << "[node]\nname = node-" << n << "\nfailure_domain = domain-0\n"
         << "interface = " << (options.has_routes ? "routes" : "documents") << "\n"
@@ -182,24 +193,25 @@
         << "peers = " << config_.host(250, n + 1) << ":8003\n"
         << "memory_mb = " << options.memory_mb << "\ngrace_s = " << options.grace_s << "\n"
         << "[platform]\naddress = " << config_.store_address() << "\n"
-        << "[cluster]\nseeds = " << config_.host(250, 1) << ":8003," << config_.host(250, 2) << ":8003\n"
+        << "[cluster]\nseeds = " << config_.host(seeds, 1) << ":8003," << config_.host(seeds, 2) << ":8003\n"
         << "[retries]\nratio = 0.2\nslack = 40\nwindow_s = 10\n";
     return {daemon_path(), "--settings", settings};
 }
 
-void fleet::write_routes() const {
+void fleet::write_routes() {
     constexpr std::uint32_t many_connections = 64;
-    const route_version version{1, {0, 1, 2, 3, 4, 5}, {}, {}};
+    const bool is_first = version_ == 0;
+    const route_version version{++version_, {0, 1, 2, 3, 4, 5}, {}, {}};
     const std::string path = std::string{wire_names::objects_path} + wire_names::routes_kind;
     constexpr unsigned created = 201;
-    const auto reply =
-        call(config_.store_address(), "POST", path, routes_object(version, 0, many_connections));
+    const auto reply = call(config_.store_address(), is_first ? "POST" : "PUT",
+                            is_first ? path : path + "/" + wire_names::routes_name,
+                            routes_object(version, 0, many_connections));
     REQUIRE(reply.has_value());
-    REQUIRE(*reply == created);
+    REQUIRE(*reply == (is_first ? created : ok));
 }
 
 void fleet::wait_until_ready(bool has_routes) const {
-    static constexpr unsigned ok = 200;
     REQUIRE(wait_for([this] { return call(operators(), "GET", "/healthz") == ok; }));
     // A node is ready before it knows all servers, so the request itself is tried.
     REQUIRE(wait_for([this, has_routes] { return !has_routes || ask() == ok; }));
--- a/tests/crowd/fleet.h
+++ b/tests/crowd/fleet.h
@@ -21,6 +21,8 @@
     std::size_t grace_s = 6;         ///< time from the node's stop signal to its end, in seconds
     std::uint32_t body_bytes = 0;    ///< size of the servers' replies; 0 for a few records
     std::uint32_t service_us = 1000; ///< mean time of a request at a server, in microseconds
+    /** Whether there is no peer, the seeds are lost, and the servers start after the node. */
+    bool is_alone = false;
 };
 
 /** A process that this test has started; it is killed with the object. */
@@ -53,7 +55,7 @@
     [[nodiscard]] std::size_t sum() const noexcept { return process + kernel; }
 };
 
-/** A node whose routes are in force, a peer of it, and the processes that they need. */
+/** A node whose routes are in force, mostly a peer of it, and the processes that they need. */
 class fleet {
 public:
     /** Starts all and waits until the node is ready. */
@@ -71,6 +73,8 @@
     [[nodiscard]] std::size_t descriptors() const;
     /** Changes the behaviour of servers. @param change as the control page of the stand-in takes it */
     void change_servers(const std::string& change) const;
+    /** Writes the next version of the routes. */
+    void write_routes();
     /** Sends one ordinary request whose caller waits for five seconds. @return its status; 0 for no answer */
     [[nodiscard]] unsigned ask() const;
 
@@ -78,7 +82,7 @@
     /** Writes a node's settings. @return its command line */
     [[nodiscard]] std::vector<std::string> command_of_node(std::uint32_t n,
                                                            const fleet_options& options) const;
-    void write_routes() const;
+    void start_servers(const fleet_options& options);
     void wait_until_ready(bool has_routes) const;
 
     soak_config config_;                      ///< the addresses
@@ -88,6 +92,7 @@
     std::optional<child_process> node_;       ///< the node under test
     std::optional<child_process> other_node_; ///< its peer, which has no callers
     std::size_t kernel_peak_ = 0;             ///< highest sample
+    std::uint64_t version_ = 0;               ///< of the routes, as written last
 };
 
 } // namespace pollengrade
