Fix: half of a reply without a length is not taken for a whole one after a reset

Cause: the system reports a reset once. A write that fails with it left it to "the next event", which reads the end of the stream, and that completes a reply without a length. Evidence: a test on real sockets; the short read before the failed write never sees the error. Ruled out: the parser; resets after the whole request was written, which the read always saw.

Change: the connection keeps the error that a write reported; the end of the stream after it is no orderly one. Nor is one that comes before the request is written in full, as the server may have broken off. Replies with a length or chunks are as before. Why it works: the error can't be consumed unseen any more, since writes and reads are the only calls that report it on a connected socket.

--- a/packages/net/client_connection.cpp
+++ b/packages/net/client_connection.cpp
@@ -99,11 +99,14 @@
 
 void client_connection::write() {
     const std::string_view body = request_.body ? std::string_view{*request_.body} : std::string_view{};
-    const std::size_t total = request_.header.size() + body.size();
-    while (written_ < total) {
+    while (!is_request_written()) {
         const ssize_t n = send_pieces(fd_, request_.header, body, written_);
-        if (n < 0)
-            return; // The buffer is full or the connection failed; the next event shows which.
+        if (n < 0) {
+            // The system reports an error once: after this one a read finds the end of the stream.
+            if (!would_block() && write_error_ == 0)
+                write_error_ = errno;
+            return;
+        }
         written_ += static_cast<std::size_t>(n);
         if (n > 0 && state_ == send_state::nothing_written)
             state_ = send_state::something_written;
@@ -121,11 +124,7 @@
             return;
         }
         if (n == 0) {
-            const bool is_complete_at_eof = parser_ && parser_->end();
-            if (is_complete_at_eof)
-                finish_reply(false);
-            else
-                end(connection_end::closed);
+            on_end_of_stream();
             return;
         }
         if (!process_bytes({buf.data(), static_cast<std::size_t>(n)}))
@@ -135,6 +134,21 @@
     }
 }
 
+void client_connection::on_end_of_stream() {
+    // A reply without a length ends here, but only if the server ended the connection in order. It may have
+    // broken off if it didn't wait for the whole request.
+    if (write_error_ != 0)
+        end(end_cause_of(write_error_));
+    else if (is_request_written() && parser_ && parser_->end())
+        finish_reply(false);
+    else
+        end(connection_end::closed);
+}
+
+bool client_connection::is_request_written() const {
+    return written_ == request_.header.size() + (request_.body ? request_.body->size() : 0);
+}
+
 bool client_connection::process_bytes(std::string_view bytes) {
     if (!is_busy()) {
         end(connection_end::stray);
@@ -174,10 +188,8 @@
 }
 
 void client_connection::finish_reply(bool has_no_excess_bytes) {
-    const std::size_t total = request_.header.size() + (request_.body ? request_.body->size() : 0);
-    const bool was_fully_sent = written_ == total;
     reply_message reply = parser_->take();
-    reply.keep_alive = reply.keep_alive && has_no_excess_bytes && was_fully_sent;
+    reply.keep_alive = reply.keep_alive && has_no_excess_bytes && is_request_written();
     const bool keep_alive = reply.keep_alive;
     parser_.reset();
     request_ = {};
@@ -197,8 +209,7 @@
 void client_connection::update_interest() {
     if (paused_)
         return;
-    const std::size_t total = request_.header.size() + (request_.body ? request_.body->size() : 0);
-    watch_.set_interest({true, is_busy() && written_ < total});
+    watch_.set_interest({true, is_busy() && !is_request_written()});
 }
 
 } // namespace pollengrade
--- a/packages/net/client_connection.h
+++ b/packages/net/client_connection.h
@@ -36,8 +36,9 @@
 
 /**
  * An HTTP/1.1 connection to a server. It carries one request at a time and reports how far the request had
- * progressed when the connection ended. The connection is closed if the server sends bytes that belong to no
- * request, or after a reply if the server doesn't keep the connection alive.
+ * progressed when the connection ended. A reply without a length is complete only if the server ended the
+ * connection in order after the whole request. The connection is closed if the server sends bytes that belong
+ * to no request, or after a reply if the server doesn't keep the connection alive.
  */
 class client_connection {
 public:
@@ -76,7 +77,9 @@
     void on_connect_ended();
     void write();
     void read();
+    void on_end_of_stream();
     bool process_bytes(std::string_view bytes);
+    [[nodiscard]] bool is_request_written() const;
     [[nodiscard]] bool may_read_on();
     void finish_reply(bool has_no_excess_bytes);
     void end(connection_end why);
@@ -92,6 +95,7 @@
     bool connected_ = false;             ///< whether the connection is established
     outgoing_request request_;           ///< the open request
     std::size_t written_ = 0;            ///< bytes of the open request written so far
+    int write_error_ = 0;                ///< code of the first error that a write reported; 0 for none
     int interim_replies_ = 0;            ///< 1xx replies read for the open request
     std::optional<reply_parser> parser_; ///< for the reply to the open request; empty if none is open
     bool paused_ = false;                ///< whether the socket is not watched until resume()
