Fix: a holder does nothing by routes that its node does not have in force

Cause: a holder ran queries by its own routes, and the node learned of them with the answer; the pull after it takes any time. And a query stated the newest version seen in answers, not the one in force. Ruled out: a shorter pull; any limit leaves a window.

Change: the query states the version in force at its node when it is sent; a holder with another one declines. A node that is behind pulls from that holder and plans the query again when the routes are in force, or runs it by its own after 100 ms, or half of the time left. A pull that is wanted during another one follows it. Queries of earlier builds, which state no version, run as before. Why it works: there is no moment at which something is done for a node by a version that is not its own.

--- a/models/config.pml
+++ b/models/config.pml
@@ -5,7 +5,7 @@
  * Two operators write one document; each write is conditional on the version that the operator has read. Each of
  * three nodes may watch the platform (a relay), push to another, pull from another, lose messages, and restart, with
  * the platform up or down. A restarted node serves only once it has read the platform, or a peer that is itself
- * complete. The platform may come back once from a copy that holds the first version: its revisions are given out
+ * complete. A holder runs queries for another node, by whose version callers then see that node. The platform may come back once from a copy that holds the first version: its revisions are given out
  * again, and what was lost is written again. Nodes order versions by the writers' own numbers.
  */
 #define NODES 3
@@ -115,6 +115,23 @@
         fi;
         peer = 0
        }
+    /* A holder runs a query for the node, by the holder's version; otherwise it declines. */
+    :: atomic {
+        peer = (me + 1) % NODES;
+        if
+#if defined(BROKEN_HOLDER_RUNS_NEWER)
+        :: serves[me] && holds[peer] >= holds[me] ->
+#elif defined(BROKEN_HOLDER_RUNS_OLDER)
+        :: serves[me] && holds[peer] > 0 && holds[peer] <= holds[me] ->
+#else
+        :: serves[me] && holds[peer] == holds[me] ->
+#endif
+            assert(holds[peer] >= in_force[me]);
+            in_force[me] = holds[peer]
+        :: else -> skip
+        fi;
+        peer = 0
+       }
     /* A restart loses all state. */
     :: atomic {
         restarts < 3 ->
--- a/packages/core/cluster/config_gossip.cpp
+++ b/packages/core/cluster/config_gossip.cpp
@@ -66,6 +66,13 @@
     pull(from);
 }
 
+void config_gossip::pull_from(const node_address& peer) {
+    if (pulling_)
+        next_pull_ = peer;
+    else
+        begin_pull(peer);
+}
+
 void config_gossip::pull_from_peers() {
     for (const node_address& it : local_first_ ? hooks_.random_local_peers(1) : hooks_.random_peers(1))
         pull(it);
@@ -77,17 +84,18 @@
     ++counts_.counter("config_pulls_sent");
     hooks_.pull(from, known(), [this](const std::optional<pull_reply>& reply) {
         pulling_ = false;
-        if (!reply) {
+        if (reply) {
+            take(reply->entries);
+            if (reply->complete && !std::exchange(complete_, true))
+                hooks_.completed();
+        }
+        if (const auto next = std::exchange(next_pull_, std::nullopt)) {
+            begin_pull(*next);
+        } else if (!reply && retries_left_ > 0) {
             // The configuration still differs: try another peer now instead of at the next probe.
-            if (retries_left_ > 0) {
-                --retries_left_;
-                pull_from_peers();
-            }
-            return;
+            --retries_left_;
+            pull_from_peers();
         }
-        take(reply->entries);
-        if (reply->complete && !std::exchange(complete_, true))
-            hooks_.completed();
     });
 }
 
--- a/packages/core/cluster/config_gossip.h
+++ b/packages/core/cluster/config_gossip.h
@@ -72,8 +72,9 @@
     void take(const std::vector<config_entry>& entries);
     /** Compares a peer's configuration digest with the local one, and pulls if they differ. */
     void on_gossip(const gossip_message& from);
-    /** Pulls from a peer that is known to hold newer objects, and from others if that fails. */
-    void pull_from(const node_address& peer) { begin_pull(peer); }
+    /** Pulls from a peer that is known to hold newer objects, after a pull that is in progress, and from
+     * others if that fails. */
+    void pull_from(const node_address& peer);
     /** Pulls from a random peer; used by a node that starts while the platform is down. */
     void pull_from_peers();
     /** @return the entries that a peer holding the versions @p known lacks. */
@@ -89,15 +90,16 @@
     void begin_pull(const node_address& from);
     void pull(const node_address& from);
 
-    timer_queue& timers_;            ///< clock and timers
-    config_store& store_;            ///< local configuration
-    metrics& counts_;                ///< counters
-    std::size_t push_fanout_;        ///< see config_gossip()
-    config_gossip_hooks hooks_;      ///< network callbacks
-    bool local_first_ = false;       ///< see set_local_first()
-    bool complete_ = false;          ///< whether this node holds all configuration
-    bool pulling_ = false;           ///< whether a pull is in progress; at most one is
-    std::uint32_t retries_left_ = 0; ///< remaining pulls from other peers after a failed one
+    timer_queue& timers_;                   ///< clock and timers
+    config_store& store_;                   ///< local configuration
+    metrics& counts_;                       ///< counters
+    std::size_t push_fanout_;               ///< see config_gossip()
+    config_gossip_hooks hooks_;             ///< network callbacks
+    bool local_first_ = false;              ///< see set_local_first()
+    bool complete_ = false;                 ///< whether this node holds all configuration
+    bool pulling_ = false;                  ///< whether a pull is in progress; at most one is
+    std::optional<node_address> next_pull_; ///< the peer to pull from after the pull that is in progress
+    std::uint32_t retries_left_ = 0;        ///< remaining pulls from other peers after a failed one
     std::optional<timer_id>
         remote_check_timer_; ///< check whether this domain has delivered what another one holds
 };
--- a/packages/core/queries/delegation.cpp
+++ b/packages/core/queries/delegation.cpp
@@ -94,6 +94,11 @@
     const duration spent = it.sent_at - it.started + expected_overhead();
     request.elapsed += spent;
     request.left -= spent;
+    if (hooks_.routes_in_force) {
+        it.sent_version = hooks_.routes_in_force();
+        request.routes_version = it.sent_version;
+        request.least_version = std::max(request.least_version, it.sent_version);
+    }
     if (hooks_.departures_after) {
         departure_news news = hooks_.departures_after(holders_[it.calls.at(call)].told_up_to);
         request.departed = std::move(news.servers);
@@ -165,6 +170,11 @@
     ++counts_.counter("delegations_failed", outcome);
     if (!answer)
         health.on_failure(now);
+    const bool is_behind = it.sent_version != object_version{} && answer && answer->version > it.sent_version;
+    if (was_sent && is_behind) {
+        finish(id, answer);
+        return;
+    }
     if (was_sent && !answer) {
         // The holder may have run the query: another one would exceed the servers that the route allows.
         const bool is_late = took >= it.request.left;
--- a/packages/core/queries/delegation.h
+++ b/packages/core/queries/delegation.h
@@ -30,6 +30,9 @@
     duration left{};                                  ///< time until the answer is no longer useful
     object_version least_version;            ///< the holder must have routes of this version or a newer one
     std::vector<departed_server> departed{}; ///< servers that leave, which the holder may not know yet
+    /** Version of the routes in force at the sender: a holder does nothing by newer ones for it, as it goes
+     * on by its own afterwards. Zero from builds that don't say it. */
+    object_version routes_version{};
 };
 
 /** A holder's answer to a delegated query. */
@@ -37,7 +40,8 @@
     forward_answer answer;    ///< the answer for the caller
     object_version version;   ///< version of the routes that the answer follows
     duration took{};          ///< time from when the holder read the query to its answer
-    bool is_declined = false; ///< whether the holder didn't run it: its routes are too old, or it is stopping
+    bool is_declined = false; ///< whether the holder didn't run it: its routes are older than wanted or newer
+                              ///< than the sender's, or it is stopping
     node_knowledge knowledge{};              ///< of the holder, when it answered
     std::vector<departed_server> departed{}; ///< servers that stated it in replies while the query ran
 };
@@ -64,6 +68,8 @@
     std::function<failure_domain(const node_address&)> domain_of;
     /** @return the servers that this node learned to leave after an earlier call; see departures::after(). */
     std::function<departure_news(std::uint64_t up_to)> departures_after{};
+    /** @return the version of the routes in force at this node. */
+    std::function<object_version()> routes_in_force{};
 };
 
 /**
@@ -74,7 +80,8 @@
  */
 class delegation {
 public:
-    /** Receives the answer; nullopt if no holder took the query. */
+    /** Receives the answer; nullopt if no holder took the query. A declined one is from a holder whose routes
+     * are newer than this node's. */
     using answer_callback = std::function<void(std::optional<delegated_answer>)>;
 
     /**
@@ -113,6 +120,7 @@
         std::optional<timer_id> ack_timer;             ///< ack timeout of the last holder called
         std::optional<delegation_call> sent_call;      ///< the call on which the query was sent
         time_point sent_at;                            ///< when it was sent
+        object_version sent_version;                   ///< version of the routes in force here at that time
         std::uint64_t told_up_to = 0;                  ///< departures that the holder knows by its answer
         answer_callback done;
     };
--- a/packages/core/queries/forwarder.cpp
+++ b/packages/core/queries/forwarder.cpp
@@ -16,6 +16,8 @@
 constexpr duration not_configured_retry_after =
     std::chrono::seconds{1};                ///< the node is still reading its routes
 constexpr double nearly_all_replies = 0.99; ///< quantile for the time that a request needs
+/** Time for a query to wait for the routes of its holder, at most half of the time that it has left. */
+constexpr duration max_routes_wait = std::chrono::milliseconds{100};
 constexpr duration min_time_left =
     std::chrono::milliseconds{6}; ///< with less time left, no reply can arrive in time
 
@@ -37,11 +39,13 @@
     return {"answered", ""};
 }
 
-/** @return the hooks with the departures that the dispatcher knows. */
-delegation_hooks with_departures(delegation_hooks network, const run_context& context) {
+/** @return the hooks with the departures that the dispatcher knows, and the routes in force. */
+delegation_hooks with_knowledge(delegation_hooks network, const run_context& context,
+                                const route_table_ptr& table) {
     network.departures_after = [context](std::uint64_t up_to) {
         return context.servers.departed().after(up_to, context.timers.now());
     };
+    network.routes_in_force = [&table] { return table ? table->version() : object_version{}; };
     return network;
 }
 
@@ -51,7 +55,7 @@
                      forwarder_hooks hooks, delegation_hooks network, duration caller_round_trip)
     : context_{context}, hooks_{std::move(hooks)},
       delegation_{context.timers, context.log,       context.counts,
-                  random,         std::move(domain), with_departures(std::move(network), context)},
+                  random,         std::move(domain), with_knowledge(std::move(network), context, table_)},
       timing_{caller_round_trip} {
     context_.timers.set_lateness_hook([this](duration lateness) { timing_.on_timer(lateness); });
 }
@@ -78,6 +82,14 @@
     context_.log.record(
         event_kind::routes_in_force, {}, {},
         {{event_key::version, table_->version().value()}, {event_key::route, table_->routes().size()}});
+    std::vector<run_id> ready;
+    for (const auto& [id, it] : waiting_) {
+        if (it.version <= table_->version())
+            ready.push_back(id);
+    }
+    // Holders are computed from these routes first.
+    for (const run_id id : ready)
+        context_.timers.schedule_after(duration{0}, [this, id] { end_wait(id); });
     return true;
 }
 
@@ -128,12 +140,16 @@
         refuse_stopping(job, respond);
         return id;
     }
-    auto holders = via->is_gather() ? hooks_.holders(*via) : std::vector<node_address>{};
+    start(id, std::move(job), timed(std::move(respond)));
+    return id;
+}
+
+void forwarder::start(run_id id, forward_job job, forward_hook respond) {
+    auto holders = job.via->is_gather() ? hooks_.holders(*job.via) : std::vector<node_address>{};
     if (holders.empty())
-        run_locally(id, std::move(job), timed(std::move(respond)));
+        run_locally(id, std::move(job), std::move(respond));
     else
-        delegate(id, std::move(job), std::move(holders), timed(std::move(respond)));
-    return id;
+        delegate(id, std::move(job), std::move(holders), std::move(respond));
 }
 
 forward_hook forwarder::timed(forward_hook respond) {
@@ -150,12 +166,13 @@
     const time_point now = context_.timers.now();
     ++context_.counts.counter("queries_taken_over");
     context_.servers.note_departed(request.departed);
-    if (!table_ || table_->version() < request.least_version) {
-        respond({refused_answer{forward_refusal::not_configured, duration{0}},
-                 table_ ? table_->version() : object_version{}, duration{0}, true});
+    const object_version version = table_ ? table_->version() : object_version{};
+    note_newer_routes(request.least_version);
+    const bool is_newer = request.routes_version != object_version{} && version > request.routes_version;
+    if (!table_ || version < request.least_version || is_newer) {
+        respond({refused_answer{forward_refusal::not_configured, duration{0}}, version, duration{0}, true});
         return id;
     }
-    const object_version version = table_->version();
     const route* via = table_->find(request.request->host, request.request->path);
     if (via == nullptr) {
         respond({unroutable_answer{}, version, duration{0}, false});
@@ -179,12 +196,14 @@
 
 void forwarder::delegate(run_id id, forward_job job, std::vector<node_address> holders,
                          forward_hook respond) {
+    const time_point now = context_.timers.now();
     delegated_request request;
     request.request = job.request;
-    request.left = job.deadline - job.arrived;
+    request.left = job.deadline - now;
+    request.elapsed = now - job.arrived;
     // The holder sees a target that ends when its answer must be here.
     if (job.soft_deadline)
-        request.elapsed = job.arrived + job.via->target - *job.soft_deadline;
+        request.elapsed = now + job.via->target - *job.soft_deadline;
     request.least_version = seen_version_;
     const auto shared_job = std::make_shared<forward_job>(std::move(job));
     delegation_.submit(
@@ -196,15 +215,57 @@
             }
             // The caller gets the answers of these servers from this node.
             context_.servers.note_departed(answer->departed);
-            if (answer->version > seen_version_) {
-                seen_version_ = answer->version;
-                hooks_.newer_routes_seen();
+            if (answer->is_declined) {
+                await_routes(id, std::move(*shared_job), answer->version, respond);
+                return;
             }
+            note_newer_routes(answer->version);
             record_answer(*shared_job, answer->answer, 0);
             respond(std::move(answer->answer));
         });
 }
 
+void forwarder::note_newer_routes(object_version version) {
+    if (version <= seen_version_)
+        return;
+    seen_version_ = version;
+    if (!table_ || version > table_->version())
+        hooks_.newer_routes_seen();
+}
+
+void forwarder::await_routes(run_id id, forward_job job, object_version version, forward_hook respond) {
+    ++context_.counts.counter("queries_awaiting_routes");
+    const time_point now = context_.timers.now();
+    const bool has_routes = table_->version() >= version;
+    const duration left = std::max(duration{0}, job.deadline - now);
+    const duration wait = has_routes ? duration{0} : std::min(max_routes_wait, left / 2);
+    const timer_id limit = context_.timers.schedule_after(wait, [this, id] { end_wait(id); });
+    waiting_.insert_or_assign(id, waiting_query{std::move(job), version, std::move(respond), limit});
+}
+
+void forwarder::end_wait(run_id id) {
+    auto node = waiting_.extract(id);
+    if (node.empty())
+        return;
+    waiting_query& it = node.mapped();
+    context_.timers.cancel(it.limit);
+    if (table_->version() >= it.version)
+        plan_again(id, it.job, std::move(it.respond));
+    else
+        run_locally(id, std::move(it.job), std::move(it.respond));
+}
+
+void forwarder::plan_again(run_id id, const forward_job& job, forward_hook respond) {
+    const route* via = table_->find(job.request->host, job.request->path);
+    if (via == nullptr) {
+        ++context_.counts.counter("answers", "unroutable");
+        respond(unroutable_answer{});
+        return;
+    }
+    start(id, make_job(job.request, *via, job.arrived, timing_.time_outside(*via, *job.request)),
+          std::move(respond));
+}
+
 void forwarder::stop_by(time_point last_answer) {
     last_answer_ = last_answer;
     delegation_.stop_by(last_answer);
@@ -308,6 +369,8 @@
 
 void forwarder::abandon(run_id id) {
     delegation_.abandon(id);
+    if (const auto node = waiting_.extract(id); !node.empty())
+        context_.timers.cancel(node.mapped().limit);
     const auto it = runs_.find(id);
     if (it == runs_.end() || it->second->is_finished())
         return;
--- a/packages/peer/peer.capnp
+++ b/packages/peer/peer.capnp
@@ -76,6 +76,7 @@
   leftUs @7 :Int64;
   leastVersion @8 :UInt64;
   departed @9 :List(DepartedServer); # servers that the holder may not know to leave
+  routesVersion @10 :UInt64; # of the routes in force at the sender; 0 from builds that do not say it
 }
 
 struct DelegatedAnswer {
--- a/packages/peer/peer.capnp.h
+++ b/packages/peer/peer.capnp.h
@@ -148,7 +148,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aec64b647c5016e7, 3, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(aec64b647c5016e7, 4, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1149,6 +1149,8 @@
   inline bool hasDeparted() const;
   inline  ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>::Reader getDeparted() const;
 
+  inline  ::uint64_t getRoutesVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1235,6 +1237,9 @@
   inline void adoptDeparted(::capnp::Orphan< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pollengrade::wire::DepartedServer,  ::capnp::Kind::STRUCT>> disownDeparted();
 
+  inline  ::uint64_t getRoutesVersion();
+  inline void setRoutesVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3828,6 +3833,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t DelegatedRequest::Reader::getRoutesVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DelegatedRequest::Builder::getRoutesVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void DelegatedRequest::Builder::setRoutesVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t DelegatedAnswer::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/peer/query_codec.cpp
+++ b/packages/peer/query_codec.cpp
@@ -150,6 +150,7 @@
     out.setElapsedUs(it.elapsed.count());
     out.setLeftUs(it.left.count());
     out.setLeastVersion(it.least_version.value());
+    out.setRoutesVersion(it.routes_version.value());
     write_departed(it.departed, out.initDeparted(static_cast<unsigned>(it.departed.size())));
 }
 
@@ -174,6 +175,7 @@
     it.elapsed = duration{in.getElapsedUs()};
     it.left = duration{in.getLeftUs()};
     it.least_version = object_version{in.getLeastVersion()};
+    it.routes_version = object_version{in.getRoutesVersion()};
     it.departed = read_departed(in.getDeparted());
     return it;
 }
--- a/tests/crowd/fleet.cpp
+++ b/tests/crowd/fleet.cpp
@@ -26,7 +26,6 @@
 constexpr std::uint32_t crowd_net = 90; ///< second octet of all addresses
 constexpr int polls_per_second = 100;
 constexpr unsigned ok = 200;
-constexpr const char* readiness_path = "/api/readiness";
 constexpr useconds_t poll_period_us = 1'000'000 / polls_per_second;
 
 /** Waits until a condition holds, at most half a minute. */
@@ -150,7 +149,7 @@
     if (!options.is_alone) {
         other_node_.emplace(command_of_node(1, options));
     } else {
-        REQUIRE(wait_for([this] { return call(config_.node_readiness(0), "GET", readiness_path) == ok; }));
+        REQUIRE(wait_for([this] { return call(config_.node_readiness(0), "GET", wire_names::readiness_path) == ok; }));
         start_servers(options);
     }
     wait_until_ready(options.has_routes);
--- a/tests/peer/query_codec_test.cpp
+++ b/tests/peer/query_codec_test.cpp
@@ -51,19 +51,23 @@
     CHECK(read.departed.front().id.value() == "i-0");
 }
 
-TEST_CASE("a query to a holder keeps which servers leave") {
+TEST_CASE("a query to a holder keeps which servers leave, and the versions of routes") {
     delegated_request it;
     auto request = std::make_shared<forwarded_request>();
     request->message.method = "GET";
     request->message.target = "/search/1";
     it.request = request;
     it.left = milliseconds{100};
+    it.least_version = object_version{7};
+    it.routes_version = object_version{6};
     it.departed = {{upstream_id{"i-1@5"}, milliseconds{20}}};
     capnp::MallocMessageBuilder message;
     auto out = message.initRoot<wire::DelegatedRequest>();
     write_request(it, out);
     const auto read = read_request(out.asReader());
     REQUIRE(read);
+    CHECK(read->least_version == object_version{7});
+    CHECK(read->routes_version == object_version{6});
     REQUIRE(read->departed.size() == 1);
     CHECK(read->departed[0].id.value() == "i-1@5");
 }
