Fix: a holder that lacks routes still delegates its own queries to holders like itself

Cause: the version that another node's query asks for was also kept as one that a holder's answer had shown. The node's own queries then asked for it, no holder with the node's routes took them, and the node ran them itself until it had pulled. Ruled out: the check at the holder, which was right. Change: the two are kept apart; only what an answer followed is asked for. Why it works: what a holder must have is then what the node has in force.

Test failed before: "a holder that another node is ahead of still delegates its own queries ..".

--- a/packages/core/queries/forwarder.cpp
+++ b/packages/core/queries/forwarder.cpp
@@ -219,6 +219,7 @@
                 await_routes(id, std::move(*shared_job), answer->version, respond);
                 return;
             }
+            seen_version_ = std::max(seen_version_, answer->version);
             note_newer_routes(answer->version);
             record_answer(*shared_job, answer->answer, 0);
             respond(std::move(answer->answer));
@@ -226,9 +227,9 @@
 }
 
 void forwarder::note_newer_routes(object_version version) {
-    if (version <= seen_version_)
+    if (version <= wanted_version_)
         return;
-    seen_version_ = version;
+    wanted_version_ = version;
     if (!table_ || version > table_->version())
         hooks_.newer_routes_seen();
 }
--- a/packages/core/queries/forwarder.h
+++ b/packages/core/queries/forwarder.h
@@ -118,7 +118,8 @@
     delegation delegation_;                        ///< queries delegated to holders
     answer_timing timing_;                         ///< when answers must be decided
     route_table_ptr table_;                        ///< see table()
-    object_version seen_version_;                  ///< newest routes that another node was seen to have
+    object_version seen_version_;                  ///< newest routes that a holder's answer followed
+    object_version wanted_version_;                ///< newest routes that another node was seen to have
     traffic_split split_;                          ///< distribution of weighted routes
     std::map<service_name, retry_budget> budgets_; ///< limits on hedges and retries, of services used so far
     std::unordered_map<run_id, std::unique_ptr<forward_run>> runs_; ///< running on this node
--- a/tests/core/queries/routes_of_holder_test.cpp
+++ b/tests/core/queries/routes_of_holder_test.cpp
@@ -68,6 +68,24 @@
     CHECK(services_asked(it.network) == new_shards);
 }
 
+TEST_CASE("a holder that another node is ahead of still delegates its own queries to a holder like itself") {
+    two_nodes it{version(1)};
+    delegated_request request;
+    auto query = std::make_shared<forwarded_request>();
+    query->host = "a.example";
+    query->path = "/search/1";
+    request.request = query;
+    request.left = std::chrono::milliseconds{100};
+    request.least_version = object_version{2};
+    request.routes_version = object_version{2};
+    bool is_declined = false;
+    it.node.submit_delegated(request,
+                             [&](const delegated_answer& answer) { is_declined = answer.is_declined; });
+    CHECK(is_declined);
+    it.search();
+    CHECK(services_asked(it.holder_network) == old_shards);
+}
+
 TEST_CASE("a query that waits for its holder's routes is answered by what these say") {
     two_nodes it{version(1)};
     it.holder.apply(version(2));
--- a/tests/crowd/fleet.cpp
+++ b/tests/crowd/fleet.cpp
@@ -149,7 +149,8 @@
     if (!options.is_alone) {
         other_node_.emplace(command_of_node(1, options));
     } else {
-        REQUIRE(wait_for([this] { return call(config_.node_readiness(0), "GET", wire_names::readiness_path) == ok; }));
+        REQUIRE(wait_for(
+            [this] { return call(config_.node_readiness(0), "GET", wire_names::readiness_path) == ok; }));
         start_servers(options);
     }
     wait_until_ready(options.has_routes);
